--- /dev/null
+++ b/dahliabend/__init__.py
@@ -0,0 +1,1 @@
+"""dahliabend: a load balancer for services that call services."""
--- /dev/null
+++ b/dahliabend/benchlink/host.py
@@ -0,0 +1,160 @@
+"""Hosts many instances of the decisions in one process; they share nothing but the code."""
+
+from struct import unpack
+
+from dahliabend.benchlink import settings, wire
+from dahliabend.decide import Balancer, Transaction
+from dahliabend.model import Outcome, State
+
+_DELTA, _FULL, _CACHED, _FAILED = range(4)
+
+
+class Instance:
+    """One balancer, and the port through which it acts: ids in, small indices on."""
+
+    def __init__(self, number: int, seed: int, conf: bytes, out: list[bytes]) -> None:
+        self.number = number
+        self.out = out
+        self.addresses: list[bytes] = []  # by upstream index
+        self.indices: dict[bytes, int] = {}
+        self.handles: dict[int, Transaction] = {}
+        try:
+            own = settings.read(conf)
+        except ValueError as error:
+            raise wire.Malformed(f"settings of instance {number}: {error}") from None
+        self.balancer = Balancer(own, self, seed)
+
+    # What the decisions do.
+
+    def send(self, ref: int, upstream: int, timeout: int) -> None:
+        self.out.append(wire.transmit(self.number, ref, self.addresses[upstream], timeout / 1000))
+
+    def roll_back(self, ref: int, come_back_in: int) -> None:
+        self.out.append(wire.refuse(self.number, ref, come_back_in / 1000))
+
+    def abandon(self, ref: int) -> None:
+        self.out.append(wire.finish_error(self.number, ref))
+
+    def cancel(self, ref: int, hop: int) -> None:
+        self.out.append(wire.cancel(self.number, ref, hop))
+
+    def probe(self, upstream: int) -> None:
+        self.out.append(wire.sound_out(self.number, self.addresses[upstream]))
+
+    def wake(self, at: int, token: int) -> None:
+        self.out.append(wire.wake_me(self.number, token, at / 1000))
+
+    def ask_list(self) -> None:
+        self.out.append(wire.subscribe(self.number, 1))
+
+    def tell(self, peer: int, text: bytes) -> None:
+        self.out.append(wire.memo_to(self.number, peer, text))
+
+    # What happens to it.
+
+    def index(self, address: bytes) -> int:
+        found = self.indices.get(address)
+        if found is None:
+            found = self.indices[address] = len(self.addresses)
+            self.addresses.append(address)
+        return found
+
+    def event(self, now: int, code: int, fields: tuple, rest: bytes, lists: dict[int, bytes]) -> None:
+        balancer = self.balancer
+        if code == wire.RETURNED:
+            _, ref, shot, took, complete, how, _, count = fields
+            tx = self.handles.get(ref)
+            if tx is not None:
+                tx.returned(now, shot, Outcome(how), settings.us(took), bool(complete), unpack(f">{count}f", rest))
+                if tx.over:
+                    del self.handles[ref]
+        elif code == wire.JOB_IN:
+            _, ref, lane, billing, _, deadline, hint, options = fields
+            hinted = settings.us(hint) if options & 1 else 0
+            tx = balancer.take(now, ref, lane, billing, settings.us(deadline), hinted, bool(options & 2))
+            if not tx.over:
+                self.handles[ref] = tx
+        elif code == wire.BELL:
+            balancer.woken(now, fields[1])
+        elif code == wire.CLIENT_GONE:
+            tx = self.handles.get(fields[1])
+            if tx is not None:
+                tx.left(now)
+                if tx.over:
+                    del self.handles[fields[1]]
+        elif code == wire.HEALTH:
+            _, address, how, took, count = fields
+            balancer.probed(now, self.index(address), Outcome(how), settings.us(took), unpack(f">{count}f", rest))
+        elif code == wire.UPDATE:
+            self.update(now, fields[2], lists.get(fields[3], b""))
+        elif code == wire.HEAD_RECEIVED:
+            tx = self.handles.get(fields[1])
+            if tx is not None:
+                tx.begun(now, fields[2])
+        elif code == wire.WHISPER:
+            balancer.heard(now, fields[1], rest)
+
+    def update(self, now: int, scope: int, lines: bytes) -> None:
+        if scope == _FAILED:
+            self.balancer.list_failed(now)
+            return
+        rows = [
+            (self.index(address), State(state), settings.us(born), weight, cell, zone)
+            for born, weight, cell, zone, address, state, _ in wire.ENTRY.iter_unpack(lines)
+        ]
+        self.balancer.listed(now, rows, full=scope != _DELTA, cached=scope == _CACHED)
+
+
+class Host:
+    def __init__(self) -> None:
+        self.instances: dict[int, Instance] = {}
+        self.lists: dict[int, bytes] = {}
+        self.out: list[bytes] = []
+
+    def batch(self, clock: float, count: int, body: bytes) -> bytes:
+        """The reply to one batch."""
+        now = settings.us(clock)
+        out = self.out
+        out.clear()
+        for code, fields, rest in wire.records(body, count):
+            if code == wire.CENSUS:
+                self.lists[fields[0]] = rest
+                continue
+            number = fields[0]
+            if code == wire.SPAWN:
+                self.start(number, fields[1], rest)
+                continue
+            instance = self.instances.get(number)
+            if code == wire.CRASH_NOW:
+                self.instances.pop(number, None)
+            elif instance is not None:
+                self.check(code, fields)
+                try:
+                    instance.event(now, code, fields, rest, self.lists)
+                except Exception as error:
+                    out.append(wire.fault(number, f"{type(error).__name__}: {error}"))
+            else:
+                raise wire.Malformed(f"{wire.NAMES[code]} for instance {number}, which was never started")
+        return wire.reply(out)
+
+    def start(self, number: int, seed: int, conf: bytes) -> None:
+        try:
+            self.instances[number] = Instance(number, seed, conf, self.out)
+        except wire.Malformed:
+            raise
+        except Exception as error:
+            self.out.append(wire.fault(number, f"{type(error).__name__}: {error}"))
+
+    def check(self, code: int, fields: tuple) -> None:
+        """Values outside the wire's tables are no decision's fault."""
+        if code == wire.RETURNED and not 1 <= fields[5] <= 8 or code == wire.HEALTH and not 1 <= fields[2] <= 8:
+            raise wire.Malformed(f"{wire.NAMES[code]}: unknown outcome")
+        if code == wire.UPDATE:
+            if fields[2] > _FAILED:
+                raise wire.Malformed(f"UPDATE: unknown scope {fields[2]}")
+            if fields[2] != _FAILED and fields[3] not in self.lists:
+                raise wire.Malformed(f"UPDATE: list {fields[3]} was never sent")
+            if fields[2] != _FAILED:
+                for row in wire.ENTRY.iter_unpack(self.lists[fields[3]]):
+                    if row[5] > State.DRAINING:
+                        raise wire.Malformed(f"UPDATE: unknown health {row[5]}")
