--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -16,7 +16,8 @@
 TIER_FLOOR, FLOOR = 20, 5  # hops below which a window counts as zero, by scope
 EASE = 1 / 2  # of a held metric, kept by each window that found nothing bad
 LATE = 3 / 4  # of the service goal: a hop slower than this counts as timed out
-HORIZON = 1 / 3  # of the mean service goal: the longest crowd, in time to serve it, that is let in
+TARGET = 1 / 3  # of the service goal: hops that take more in the mean are a sign of a crowd
+ROOM = 3 / 2  # of the least time seen, where that is more than the target
 SKIP = 5 / 4  # of the mean in flight: an upstream above it is skipped
 SLOW = 3 / 2  # of the tier's usual time: an upstream slower than this has its weight cut in proportion
 SILENT = 4  # of the tier's usual time, with hops out and nothing heard: the upstream is set aside
@@ -143,11 +144,11 @@
         self.tier = Entry()
         self.out = 0
         self.served = self.begun_hops = 0
-        self.mean_goal = sum(goals) / len(goals)
         self.mean_hint = 0.0
         self.usual = [0.0] * len(s.profiles)  # running mean time of a hop, by profile
-        self.took = self.low = self.peak = self.rate = 0.0
-        self.low_sum = self.low_count = 0
+        self.took = self.stretch = self.low = 0.0  # a hop's running mean time, and its share of the goal
+        self.ceiling = float("inf")
+        self.stretched = 0.0
         self.held_back = 0
         self.credit = 1.0
         self.beats = 0
@@ -173,6 +174,8 @@
             if u is None:
                 u = self.upstreams[index] = Upstream(index, len(self.profiles))
             if born != u.born:
+                if u.born >= 0 and u.aside:
+                    self.out += u.out
                 u.begin(born, now, self.chance())
             u.state, u.weight, u.cell, u.zone = state, weight if weight > 0 else 1.0, cell, zone
             named.add(index)
@@ -194,7 +197,6 @@
 
     def take(self, now, ref, profile, customer, deadline, hint=0, repeat=False) -> Transaction:
         kind = self.profiles[profile]
-        self.mean_goal += MEMORY * (kind.service_goal - self.mean_goal)
         cost = 1.0
         if hint:
             self.mean_hint += (hint - self.mean_hint) * (MEMORY if self.mean_hint else 1.0)
@@ -210,7 +212,6 @@
             else:
                 value *= self.excess  # beyond its share: turned away first, so that its burst does not cost all
         tx = Transaction(self, ref, profile, deadline, now + kind.service_goal, cost, value)
-        self.rate += 1
         self.send(tx, now, first=True)
         return tx
 
@@ -252,16 +253,13 @@
 
     def crowded(self, tx) -> bool:
         """Would the crowd in flight take longer to serve than is let in? Crowded upstreams choke before refusing."""
-        if not self.peak:
-            return False
-        horizon = max(self.mean_goal * HORIZON, 3 * self.low / 2)
-        return self.out + 1 > self.peak * horizon * (0.6 + 0.4 * tx.value) + 1
+        return self.out >= self.ceiling * (0.6 + 0.4 * tx.value)
 
     def choose(self, tx, now, risk, clean=False) -> Upstream | None:
         """Smooth weighted rotation over those not far above the mean in flight."""
         group = tx.kind.group if risk and tx.kind.effect is Effect.JOURNALLED else Group.ALL
         used = [hop[0] for hop in tx.hops]
-        pressed = self.took > SLOW * self.low
+        pressed = self.stretch > SLOW * self.low
         for pool, careful in ((self.near, True), (self.ready, True), (self.ready, False)):
             if pool is self.near and pressed and pool is not self.ready:
                 continue
@@ -320,7 +318,7 @@
             u.heard = now
         u.out += 1
         u.load += tx.cost
-        self.out += 1
+        self.out += not u.aside
         tx.out += 1
         tx.hops.append([u, now, True, True, u.cell, u.zone])
         self.begun_hops += 1
@@ -367,7 +365,7 @@
     def learn(self, now, tx, u, outcome, took) -> None:
         u.out -= 1
         u.load = u.load - tx.cost if u.out else 0.0
-        self.out -= 1
+        self.out -= not u.aside
         if outcome is Outcome.CANCELLED or outcome is Outcome.MOOT:
             return
         answered = outcome in (Outcome.COMMITTED, Outcome.ERROR, Outcome.FULL)
@@ -379,8 +377,7 @@
             usual = self.usual[tx.profile]
             self.usual[tx.profile] = usual + (took - usual) * (MEMORY if usual else 1.0)
             self.took += (took - self.took) * (MEMORY if self.took else 1.0)
-            self.low_sum += took
-            self.low_count += 1
+            self.stretched += took / tx.kind.service_goal
             if usual:
                 u.pace += (min(took / usual, 10.0) - u.pace) * MEMORY
             u.strikes = 0
@@ -395,6 +392,7 @@
         if u.aside:
             return
         u.aside, u.since = True, now
+        self.out -= u.out  # what hangs there is no crowd elsewhere
         u.strikes += 1
         self.sound(u)
 
@@ -413,6 +411,7 @@
 
     def bring_back(self, u, now) -> None:
         u.aside, u.heard = False, now
+        self.out += u.out
         u.entries[-1].metric = 0.0
 
     def woken(self, now, token) -> None:
@@ -431,10 +430,25 @@
             elif u.out and self.last_heard > u.heard and now - u.heard > patience:
                 # Hung upstreams are silent until time-outs: others answer, this one does not.
                 self.set_aside(u, now)
+        if self.served >= TIER_FLOOR:
+            self.weigh_crowd()
         if self.beats % WINDOW:
             return
         self.close_window(now)
 
+    def weigh_crowd(self) -> None:
+        """Crowded upstreams choke before they refuse: hold the crowd in flight to what is served well in time."""
+        self.stretch = self.stretched / self.served
+        self.low = min(self.stretch, self.low * (1 + MEMORY / 4)) if self.low else self.stretch
+        target = max(TARGET, ROOM * self.low)
+        if self.stretch > target:
+            least = len(self.ready) / 2
+            self.ceiling = max(least, min(self.ceiling, self.out) * max(0.7, target / self.stretch))
+        elif self.held_back:
+            self.ceiling *= min(1.2, target / self.stretch)
+        self.served = self.held_back = 0
+        self.stretched = 0.0
+
     def close_window(self, now) -> None:
         self.tier.close(now, TIER_FLOOR, self.validity)
         for u in self.ready:
@@ -443,14 +457,5 @@
             own = u.entries[-1].metric
             if own >= UNWELL and self.tier.metric < own / 2:
                 self.set_aside(u, now)
-        pace = self.served / self.window
-        if self.held_back and pace < self.peak:
-            self.peak += (pace - self.peak) / 4  # held back, and yet no more is served: capacity has fallen
-        else:
-            self.peak = max(pace, self.peak * (1 - MEMORY / 4))
-        if self.low_count:
-            mean = self.low_sum / self.low_count
-            self.low = min(mean, self.low * (1 + MEMORY / 4)) if self.low else mean
         self.rate_per_us += (self.begun_hops / self.window - self.rate_per_us) * (1 / 4 if self.rate_per_us else 1)
-        self.served = self.begun_hops = self.held_back = 0
-        self.low_sum = self.low_count = 0
+        self.begun_hops = 0
