--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -16,8 +16,8 @@
 TIER_FLOOR, FLOOR = 20, 5  # hops below which a window counts as zero, by scope
 EASE = 1 / 2  # of a held metric, kept by each window that found nothing bad
 LATE = 3 / 4  # of the service goal: a hop slower than this counts as timed out
-TARGET = 1 / 3  # of the service goal: hops that take more in the mean are a sign of a crowd
-ROOM = 3 / 2  # of the least time seen, where that is more than the target
+CROWD = 3 / 2  # of the crowd that the best pace and the least hop time seen explain: more is held back
+TARGET = 1 / 2  # of the service goal: hops that take more in the mean squeeze that crowd, to a half at most
 SKIP = 5 / 4  # of the mean in flight: an upstream above it is skipped
 SLOW = 3 / 2  # of the tier's usual time: an upstream slower than this has its weight cut in proportion
 SILENT = 4  # of the tier's usual time, with hops out and nothing heard: the upstream is set aside
@@ -148,8 +148,8 @@
         self.usual = [0.0] * len(s.profiles)  # running mean time of a hop, by profile
         self.took = self.stretch = self.low = 0.0  # a hop's running mean time, and its share of the goal
         self.ceiling = float("inf")
-        self.stretched = 0.0
-        self.held_back = 0
+        self.stretched = self.spent = self.peak = self.least = 0.0
+        self.squeeze, self.weighed = 1.0, 0
         self.credit = 1.0
         self.beats = 0
         self.awake = False
@@ -229,7 +229,6 @@
         if first and self.entrance and self.crowded(tx):
             self.tier.tried += 1  # the tier is as good as full for it
             self.tier.bad += 1
-            self.held_back += 1
             return self.give_up(tx, now)
         u = self.choose(tx, now, risk)
         if u is None:
@@ -373,11 +372,14 @@
             u.heard = self.last_heard = now
         bad = outcome is not Outcome.COMMITTED
         if outcome is Outcome.COMMITTED:
-            self.served += 1
             usual = self.usual[tx.profile]
             self.usual[tx.profile] = usual + (took - usual) * (MEMORY if usual else 1.0)
             self.took += (took - self.took) * (MEMORY if self.took else 1.0)
+            if not self.served and not self.peak:
+                self.weighed = now - self.beat
             self.stretched += took / tx.kind.service_goal
+            self.spent += took
+            self.served += 1
             if usual:
                 u.pace += (min(took / usual, 10.0) - u.pace) * MEMORY
             u.strikes = 0
@@ -430,24 +432,27 @@
             elif u.out and self.last_heard > u.heard and now - u.heard > patience:
                 # Hung upstreams are silent until time-outs: others answer, this one does not.
                 self.set_aside(u, now)
-        if self.served >= TIER_FLOOR:
-            self.weigh_crowd()
+        if self.served >= TIER_FLOOR and now - self.weighed >= self.window // 2:
+            self.weigh_crowd(now)
         if self.beats % WINDOW:
             return
         self.close_window(now)
 
-    def weigh_crowd(self) -> None:
-        """Crowded upstreams choke before they refuse: hold the crowd in flight to what is served well in time."""
-        self.stretch = self.stretched / self.served
+    def weigh_crowd(self, now) -> None:
+        """Crowded upstreams choke before they refuse: hold the crowd in flight to what the tier has shown it bears."""
+        span = now - self.weighed
+        self.stretch, took = self.stretched / self.served, self.spent / self.served
         self.low = min(self.stretch, self.low * (1 + MEMORY / 4)) if self.low else self.stretch
-        target = max(TARGET, ROOM * self.low)
-        if self.stretch > target:
-            least = len(self.ready) / 2
-            self.ceiling = max(least, min(self.ceiling, self.out) * max(0.7, target / self.stretch))
-        elif self.held_back:
-            self.ceiling *= min(1.2, target / self.stretch)
-        self.served = self.held_back = 0
-        self.stretched = 0.0
+        self.least = min(took, self.least * (1 + MEMORY / 4)) if self.least else took
+        self.peak = max(self.served / span, self.peak * (1 - MEMORY / 4))
+        if self.stretch > TARGET:
+            self.squeeze = max(0.5, self.squeeze * max(0.8, TARGET / self.stretch))
+        else:
+            self.squeeze = min(1.0, self.squeeze * 1.1)
+        crowd = self.peak * self.least
+        self.ceiling = (CROWD * crowd + 2 * crowd**0.5) * self.squeeze
+        self.weighed, self.served = now, 0
+        self.stretched = self.spent = 0.0
 
     def close_window(self, now) -> None:
         self.tier.close(now, TIER_FLOOR, self.validity)
