--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -16,8 +16,10 @@
 TIER_FLOOR, FLOOR = 20, 5  # hops below which a window counts as zero, by scope
 EASE = 1 / 2  # of a held metric, kept by each window that found nothing bad
 LATE = 3 / 4  # of the service goal: a hop slower than this counts as timed out
-CROWD = 3 / 2  # of the crowd that the best pace and the least hop time seen explain: more is held back
-TARGET = 1 / 2  # of the service goal: hops that take more in the mean squeeze that crowd, to a half at most
+TARGET = 1 / 3  # of the service goal: hops that take more in the mean are a sign of a crowd
+ROOM = 3 / 2  # of the least such share seen, where that is above the target
+START, LEAST = 4, 2  # hops an upstream, all balancers together: the crowd let in at first and whatever happens
+GROW, SHRINK = 5 / 4, 4 / 5  # the most that a crowd held back may change between two looks
 SKIP = 5 / 4  # of the mean in flight: an upstream above it is skipped
 SLOW = 3 / 2  # of the tier's usual time: an upstream slower than this has its weight cut in proportion
 SILENT = 4  # of the tier's usual time, with hops out and nothing heard: the upstream is set aside
@@ -42,9 +44,7 @@
         if self.tried:
             seen = self.bad / self.tried if self.tried >= floor else 0.0
             held = self.metric if now < self.until else 0.0
-            # What was let through shows only what the held share left over: so the two are put together, and a
-            # clean window eases the share instead of dropping it. Else the load would return in waves.
-            new = 1 - (1 - held) * (1 - seen) if seen >= STEP else held * EASE
+            new = max(seen, held * EASE)  # eased, not dropped: else the load returns in waves
             if abs(new - self.metric) >= STEP or now >= self.until:
                 self.metric = new if new >= STEP else 0.0
             self.until = now + validity
@@ -147,9 +147,8 @@
         self.mean_hint = 0.0
         self.usual = [0.0] * len(s.profiles)  # running mean time of a hop, by profile
         self.took = self.stretch = self.low = 0.0  # a hop's running mean time, and its share of the goal
-        self.ceiling = float("inf")
-        self.stretched = self.spent = self.peak = self.least = 0.0
-        self.squeeze, self.weighed = 1.0, 0
+        self.ceiling, self.balancers = 0.0, s.balancers
+        self.held_back, self.weighed = False, 0
         self.credit = 1.0
         self.beats = 0
         self.awake = False
@@ -185,6 +184,7 @@
                     u.state = State.GONE
         self.ready = [u for u in self.upstreams if u is not None and u.state is State.READY]
         self.near = [u for u in self.ready if u.zone == self.zone] if self.near_first else self.ready
+        self.ceiling = self.ceiling or self.bear(START)
 
     def list_failed(self, now) -> None:
         if self.ask_again:
@@ -227,8 +227,7 @@
         if risk and tx.kind.effect is Effect.JOURNALLED and now >= risk[1] + tx.kind.repeat_window:
             return self.give_up(tx, now)
         if first and self.entrance and self.crowded(tx):
-            self.tier.tried += 1  # the tier is as good as full for it
-            self.tier.bad += 1
+            self.held_back = True
             return self.give_up(tx, now)
         u = self.choose(tx, now, risk)
         if u is None:
@@ -375,10 +374,8 @@
             usual = self.usual[tx.profile]
             self.usual[tx.profile] = usual + (took - usual) * (MEMORY if usual else 1.0)
             self.took += (took - self.took) * (MEMORY if self.took else 1.0)
-            if not self.served and not self.peak:
-                self.weighed = now - self.beat
-            self.stretched += took / tx.kind.service_goal
-            self.spent += took
+            stretch = took / tx.kind.service_goal
+            self.stretch += (stretch - self.stretch) * (MEMORY if self.stretch else 1.0)
             self.served += 1
             if usual:
                 u.pace += (min(took / usual, 10.0) - u.pace) * MEMORY
@@ -440,19 +437,17 @@
 
     def weigh_crowd(self, now) -> None:
         """Crowded upstreams choke before they refuse: hold the crowd in flight to what the tier has shown it bears."""
-        span = now - self.weighed
-        self.stretch, took = self.stretched / self.served, self.spent / self.served
         self.low = min(self.stretch, self.low * (1 + MEMORY / 4)) if self.low else self.stretch
-        self.least = min(took, self.least * (1 + MEMORY / 4)) if self.least else took
-        self.peak = max(self.served / span, self.peak * (1 - MEMORY / 4))
-        if self.stretch > TARGET:
-            self.squeeze = max(0.5, self.squeeze * max(0.8, TARGET / self.stretch))
-        else:
-            self.squeeze = min(1.0, self.squeeze * 1.1)
-        crowd = self.peak * self.least
-        self.ceiling = (CROWD * crowd + 2 * crowd**0.5) * self.squeeze
-        self.weighed, self.served = now, 0
-        self.stretched = self.spent = 0.0
+        change = max(TARGET, ROOM * self.low) / self.stretch
+        if change < 1:
+            self.ceiling = max(SHRINK, change) * min(self.ceiling, self.out)
+        elif self.held_back:
+            self.ceiling *= min(GROW, change)
+        self.ceiling = max(self.ceiling, self.bear(LEAST))
+        self.served, self.held_back, self.weighed = 0, False, now
+
+    def bear(self, each) -> float:
+        return each * len(self.ready) / self.balancers
 
     def close_window(self, now) -> None:
         self.tier.close(now, TIER_FLOOR, self.validity)
