--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -57,7 +57,7 @@
 
     __slots__ = (
         "index", "cell", "zone", "weight", "born", "state", "turn", "out", "load", "heard", "entries", "pace",
-        "aside", "since", "strikes", "sounding", "budget", "filled",
+        "held", "aside", "since", "strikes", "sounding", "budget", "filled",
     )  # fmt: skip
 
     def __init__(self, index: int, profiles: int) -> None:
@@ -65,6 +65,7 @@
         self.entries = [Entry() for _ in range(profiles + 1)]  # the last is the upstream's own
         self.state = State.GONE
         self.born = -1
+        self.held: dict[Transaction, int] = {}  # whose hops are out, and their numbers
         self.out, self.load = 0, 0.0  # hops in flight, and what they cost in mean transactions
 
     def begin(self, born: int, now: int, chance: float) -> None:
@@ -320,18 +321,10 @@
         tx.out += 1
         tx.hops.append([u, now, True, True, u.cell, u.zone])
         self.begun_hops += 1
-        left = end - now
         if len(tx.hops) == 1:
             self.credit = min(10.0, self.credit + RETRIES)
-        if (
-            tx.kind.effect is not Effect.NON_IDEMPOTENT
-            and len(tx.hops) < self.hops_allowed
-            and self.credit >= 1
-            and not self.tier.metric
-            and len(self.ready) > 1
-        ):
-            left = min(left, max(tx.kind.service_goal // 2, round(SILENT * self.usual[tx.profile])))
-        self.port.send(tx.ref, u.index, max(1, left))
+        u.held[tx] = len(tx.hops) - 1
+        self.port.send(tx.ref, u.index, max(1, end - now))
 
     def resend(self, tx, now, outcome) -> None:
         """After a hop that brought no answer: another, where the profile allows and the retries are not spent."""
@@ -362,6 +355,7 @@
 
     def learn(self, now, tx, u, outcome, took) -> None:
         u.out -= 1
+        u.held.pop(tx, None)
         u.load = u.load - tx.cost if u.out else 0.0
         self.out -= not u.aside
         if outcome is Outcome.CANCELLED or outcome is Outcome.MOOT:
@@ -429,6 +423,10 @@
             elif u.out and self.last_heard > u.heard and now - u.heard > patience:
                 # Hung upstreams are silent until time-outs: others answer, this one does not.
                 self.set_aside(u, now)
+                if self.may_cancel:
+                    for tx, number in list(u.held.items()):
+                        if not tx.done and tx.kind.effect is not Effect.NON_IDEMPOTENT and len(tx.hops) < self.hops_allowed:
+                            self.port.cancel(tx.ref, number)
         if self.served >= TIER_FLOOR and now - self.weighed >= self.window // 2:
             self.weigh_crowd(now)
         if self.beats % WINDOW:
