--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -19,10 +19,11 @@
 TARGET = 1 / 3  # of the service goal: hops that take more in the mean are a sign of a crowd
 ROOM = 3 / 2  # of the least such share seen, where that is above the target
 START, LEAST = 4, 2  # hops an upstream, all balancers together: the crowd let in at first and whatever happens
-GROW, SHRINK = 5 / 4, 4 / 5  # the most that a crowd held back may change between two looks
+GROW, SHRINK = 5 / 4, 1 / 2  # the most that a crowd held back may change between two looks
 SKIP = 5 / 4  # of the mean in flight: an upstream above it is skipped
 SLOW = 3 / 2  # of the tier's usual time: an upstream slower than this has its weight cut in proportion
 SILENT = 4  # of the tier's usual time, with hops out and nothing heard: the upstream is set aside
+PATIENCE = 4  # of a profile's usual time: a hop that may be repeated waits no longer
 UNWELL = 2 / 5  # a metric at which an upstream is set aside, where the tier holds less than half of that
 RETRIES = 1 / 10  # of first hops: what may be spent on hops after one that may have run
 MEMORY = 1 / 16  # weight of the newest sample in a running mean
@@ -150,6 +151,7 @@
         self.took = self.stretch = self.low = 0.0  # a hop's running mean time, and its share of the goal
         self.ceiling, self.balancers = 0.0, s.balancers
         self.held_back, self.weighed = False, 0
+        self.mean_goal, self.borne = sum(goals) / len(goals), 0.0
         self.credit = 1.0
         self.beats = 0
         self.awake = False
@@ -324,7 +326,17 @@
         if len(tx.hops) == 1:
             self.credit = min(10.0, self.credit + RETRIES)
         u.held[tx] = len(tx.hops) - 1
-        self.port.send(tx.ref, u.index, max(1, end - now))
+        left = end - now
+        usual = self.usual[tx.profile]
+        if (
+            usual
+            and tx.kind.effect is not Effect.NON_IDEMPOTENT
+            and len(tx.hops) < self.hops_allowed
+            and self.credit >= 1
+            and not self.tier.metric
+        ):
+            left = min(left, max(tx.kind.service_goal // 2, round(PATIENCE * usual)))
+        self.port.send(tx.ref, u.index, max(1, left))
 
     def resend(self, tx, now, outcome) -> None:
         """After a hop that brought no answer: another, where the profile allows and the retries are not spent."""
@@ -371,6 +383,7 @@
             stretch = took / tx.kind.service_goal
             self.stretch += (stretch - self.stretch) * (MEMORY if self.stretch else 1.0)
             self.served += 1
+            self.mean_goal += (tx.kind.service_goal - self.mean_goal) * MEMORY
             if usual:
                 u.pace += (min(took / usual, 10.0) - u.pace) * MEMORY
             u.strikes = 0
@@ -425,6 +438,8 @@
                 self.set_aside(u, now)
                 if self.may_cancel:
                     for tx, number in list(u.held.items()):
+                        if now - tx.hops[number][1] < max(tx.kind.service_goal // 2, PATIENCE * self.usual[tx.profile]):
+                            continue
                         if not tx.done and tx.kind.effect is not Effect.NON_IDEMPOTENT and len(tx.hops) < self.hops_allowed:
                             self.port.cancel(tx.ref, number)
         if self.served >= TIER_FLOOR and now - self.weighed >= self.window // 2:
@@ -436,12 +451,15 @@
     def weigh_crowd(self, now) -> None:
         """Crowded upstreams choke before they refuse: hold the crowd in flight to what the tier has shown it bears."""
         self.low = min(self.stretch, self.low * (1 + MEMORY / 4)) if self.low else self.stretch
-        change = max(TARGET, ROOM * self.low) / self.stretch
+        target = max(TARGET, ROOM * self.low)
+        change = target / self.stretch
         if change < 1:
             self.ceiling = max(SHRINK, change) * min(self.ceiling, self.out)
-        elif self.held_back:
-            self.ceiling *= min(GROW, change)
-        self.ceiling = max(self.ceiling, self.bear(LEAST))
+        else:
+            self.borne = max(self.out, self.borne * (1 - MEMORY / 4))
+            if self.held_back:
+                self.ceiling *= min(GROW, change)
+        self.ceiling = max(self.ceiling, self.bear(LEAST), self.borne / 2)
         self.served, self.held_back, self.weighed = 0, False, now
 
     def bear(self, each) -> float:
