--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -150,7 +150,7 @@
         self.usual = [0.0] * len(s.profiles)  # running mean time of a hop, by profile
         self.took = self.stretch = self.low = 0.0  # a hop's running mean time, and its share of the goal
         self.ceiling, self.balancers = 0.0, s.balancers
-        self.held_back, self.weighed = False, 0
+        self.held_back, self.pressed, self.weighed = False, False, 0
         self.mean_goal, self.borne = sum(goals) / len(goals), 0.0
         self.credit = 1.0
         self.beats = 0
@@ -260,9 +260,9 @@
         """Smooth weighted rotation over those not far above the mean in flight."""
         group = tx.kind.group if risk and tx.kind.effect is Effect.JOURNALLED else Group.ALL
         used = [hop[0] for hop in tx.hops]
-        pressed = self.stretch > SLOW * self.low
+        spill = self.stretch > SLOW * self.low
         for pool, careful in ((self.near, True), (self.ready, True), (self.ready, False)):
-            if pool is self.near and pressed and pool is not self.ready:
+            if pool is self.near and spill and pool is not self.ready:
                 continue
             best, total = None, 0.0
             weight_all = load_all = 0.0
@@ -387,10 +387,13 @@
             if usual:
                 u.pace += (min(took / usual, 10.0) - u.pace) * MEMORY
             u.strikes = 0
-            bad = took > LATE * tx.kind.service_goal
-        for entry in (u.entries[tx.profile], u.entries[-1], self.tier):
+            bad = self.pressed and took > LATE * tx.kind.service_goal
+        for entry in (u.entries[tx.profile], u.entries[-1]):
             entry.tried += 1
             entry.bad += bad
+        self.tier.tried += 1
+        # One slow or costly hop says nothing of the tier: its time-outs count only while hops take long in the mean.
+        self.tier.bad += bad and (self.pressed or outcome is Outcome.FULL)
         if outcome is Outcome.UNREACHABLE:
             self.set_aside(u, now)
 
@@ -453,6 +456,7 @@
         self.low = min(self.stretch, self.low * (1 + MEMORY / 4)) if self.low else self.stretch
         target = max(TARGET, ROOM * self.low)
         change = target / self.stretch
+        self.pressed = change < 1
         if change < 1:
             self.ceiling = max(SHRINK, change) * min(self.ceiling, self.out)
         else:
