--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -16,8 +16,8 @@
 TIER_FLOOR, FLOOR = 20, 5  # hops below which a window counts as zero, by scope
 EASE = 1 / 2  # of a held metric, kept by each window that found nothing bad
 LATE = 3 / 4  # of the service goal: a hop slower than this counts as timed out
-TARGET = 1 / 3  # of the service goal: hops that take more in the mean are a sign of a crowd
-ROOM = 3 / 2  # of the least such share seen, where that is above the target
+TARGET = 2 / 5  # of the service goal: hops that take more in the mean are a sign of a crowd
+ROOM = 4 / 3  # of the least such share seen, where that is above the target
 START, LEAST = 4, 2  # hops an upstream, all balancers together: the crowd let in at first and whatever happens
 GROW, SHRINK = 5 / 4, 1 / 2  # the most that a crowd held back may change between two looks
 SKIP = 5 / 4  # of the mean in flight: an upstream above it is skipped
@@ -453,7 +453,7 @@
 
     def weigh_crowd(self, now) -> None:
         """Crowded upstreams choke before they refuse: hold the crowd in flight to what the tier has shown it bears."""
-        self.low = min(self.stretch, self.low * (1 + MEMORY / 4)) if self.low else self.stretch
+        self.low = min(self.stretch, self.low * (1 + MEMORY / 64)) if self.low else self.stretch
         target = max(TARGET, ROOM * self.low)
         change = target / self.stretch
         self.pressed = change < 1
