--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -17,7 +17,7 @@
 EASE = 1 / 2  # of a held metric, kept by each window that found nothing bad
 LATE = 3 / 4  # of the service goal: a hop slower than this counts as timed out
 TARGET = 2 / 5  # of the service goal: hops that take more in the mean are a sign of a crowd
-ROOM = 4 / 3  # of the least such share seen, where that is above the target
+ROOM = 4 / 3, 3  # of the least such share seen: the target is kept between them
 START, LEAST = 4, 2  # hops an upstream, all balancers together: the crowd let in at first and whatever happens
 GROW, SHRINK = 5 / 4, 1 / 2  # the most that a crowd held back may change between two looks
 SKIP = 5 / 4  # of the mean in flight: an upstream above it is skipped
@@ -445,7 +445,7 @@
                             continue
                         if not tx.done and tx.kind.effect is not Effect.NON_IDEMPOTENT and len(tx.hops) < self.hops_allowed:
                             self.port.cancel(tx.ref, number)
-        if self.served >= TIER_FLOOR and now - self.weighed >= self.window // 2:
+        if self.served >= TIER_FLOOR and now - self.weighed >= max(self.window // 2, 2 * self.took):
             self.weigh_crowd(now)
         if self.beats % WINDOW:
             return
@@ -454,13 +454,13 @@
     def weigh_crowd(self, now) -> None:
         """Crowded upstreams choke before they refuse: hold the crowd in flight to what the tier has shown it bears."""
         self.low = min(self.stretch, self.low * (1 + MEMORY / 64)) if self.low else self.stretch
-        target = max(TARGET, ROOM * self.low)
+        target = max(min(TARGET, ROOM[1] * self.low), ROOM[0] * self.low)
         change = target / self.stretch
         self.pressed = change < 1
         if change < 1:
             self.ceiling = max(SHRINK, change) * min(self.ceiling, self.out)
         else:
-            self.borne = max(self.out, self.borne * (1 - MEMORY / 4))
+            self.borne += (self.out - self.borne) * (MEMORY if self.borne else 1.0)
             if self.held_back:
                 self.ceiling *= min(GROW, change)
         self.ceiling = max(self.ceiling, self.bear(LEAST), self.borne / 2)
