--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -79,12 +79,12 @@
 class Transaction:
     """The handle of a transaction taken."""
 
-    __slots__ = ("home", "ref", "profile", "kind", "deadline", "goal", "cost", "value", "hops", "out", "done", "fresh")
+    __slots__ = ("home", "ref", "profile", "kind", "deadline", "goal", "cost", "heft", "value", "hops", "out", "done", "fresh")
 
-    def __init__(self, home, ref, profile, deadline, goal, cost, value):
+    def __init__(self, home, ref, profile, deadline, goal, cost, heft, value):
         self.home, self.ref, self.profile, self.deadline = home, ref, profile, deadline
         self.kind = home.profiles[profile]
-        self.goal, self.cost, self.value = goal, cost, value
+        self.goal, self.cost, self.heft, self.value = goal, cost, heft, value
         self.hops: list[list] = []  # upstream, sent at, still out, may have run, cell, zone
         self.out, self.done = 0, False
 
@@ -147,6 +147,7 @@
         self.out = 0
         self.served = self.begun_hops = 0
         self.mean_hint = 0.0
+        self.hints = [0.0] * len(s.profiles)
         self.usual = [0.0] * len(s.profiles)  # running mean time of a hop, by profile
         self.took = self.stretch = self.low = 0.0  # a hop's running mean time, and its share of the goal
         self.ceiling, self.balancers = 0.0, s.balancers
@@ -200,8 +201,10 @@
 
     def take(self, now, ref, profile, customer, deadline, hint=0, repeat=False) -> Transaction:
         kind = self.profiles[profile]
-        cost = 1.0
+        cost = heft = 1.0
         if hint:
+            mean = self.hints[profile] = self.hints[profile] + (hint - self.hints[profile]) * (MEMORY if self.hints[profile] else 1.0)
+            heft = max(1.0, hint / mean)
             self.mean_hint += (hint - self.mean_hint) * (MEMORY if self.mean_hint else 1.0)
             cost = hint / self.mean_hint
         value = 1 - self.bias * (1 - self.values[profile])
@@ -214,7 +217,7 @@
                 spare[0] -= 1
             else:
                 value *= self.excess  # beyond its share: turned away first, so that its burst does not cost all
-        tx = Transaction(self, ref, profile, deadline, now + kind.service_goal, cost, value)
+        tx = Transaction(self, ref, profile, deadline, now + kind.service_goal, cost, heft, value)
         self.send(tx, now, first=True)
         return tx
 
@@ -335,7 +338,7 @@
             and self.credit >= 1
             and not self.tier.metric
         ):
-            left = min(left, max(tx.kind.service_goal // 2, round(PATIENCE * usual)))
+            left = min(left, max(tx.kind.service_goal // 2, round(PATIENCE * usual * tx.heft)))
         self.port.send(tx.ref, u.index, max(1, left))
 
     def resend(self, tx, now, outcome) -> None:
@@ -441,7 +444,7 @@
                 self.set_aside(u, now)
                 if self.may_cancel:
                     for tx, number in list(u.held.items()):
-                        if now - tx.hops[number][1] < max(tx.kind.service_goal // 2, PATIENCE * self.usual[tx.profile]):
+                        if now - tx.hops[number][1] < max(tx.kind.service_goal // 2, PATIENCE * self.usual[tx.profile] * tx.heft):
                             continue
                         if not tx.done and tx.kind.effect is not Effect.NON_IDEMPOTENT and len(tx.hops) < self.hops_allowed:
                             self.port.cancel(tx.ref, number)
