--- a/dahliabend/benchlink/host.py
+++ b/dahliabend/benchlink/host.py
@@ -102,7 +102,7 @@
             (self.index(address), State(state), settings.us(born), weight, cell, zone)
             for born, weight, cell, zone, address, state, _ in wire.ENTRY.iter_unpack(lines)
         ]
-        self.balancer.listed(now, rows, full=scope != _DELTA, cached=scope == _CACHED)
+        self.balancer.listed(now, rows, full=scope != _DELTA)
 
 
 class Host:
--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -15,38 +15,48 @@
 STEP = 0.05  # a smaller change of a metric renews it, a larger one replaces it
 TIER_FLOOR, FLOOR = 20, 5  # hops below which a window counts as zero, by scope
 EASE = 1 / 2  # of a held metric, kept by each window that found nothing bad
-LATE = 3 / 4  # of the service goal: a hop slower than this counts as timed out
+LATE = 3 / 4  # of the service goal: in a crowd, a hop slower than this counts as timed out
 TARGET = 2 / 5  # of the service goal: hops that take more in the mean are a sign of a crowd
 ROOM = 4 / 3, 3  # of the least such share seen: the target is kept between them
 START, LEAST = 5, 4  # hops an upstream, all balancers together: the crowd let in at first and whatever happens
 GROW, SHRINK = 5 / 4, 1 / 2  # the most that a crowd held back may change between two looks
+EQUAL = 3 / 5  # of the crowd: let in whatever the revenue; above it the more valuable go first
 SKIP = 5 / 4  # of the mean in flight: an upstream above it is skipped
 SLOW = 3 / 2  # of the tier's usual time: an upstream slower than this has its weight cut in proportion
 SILENT = 4  # of the tier's usual time, with hops out and nothing heard: the upstream is set aside
-PATIENCE = 4  # of a profile's usual time: a hop that may be repeated waits no longer
+PATIENCE = 4  # of a profile's usual time, or half its goal if longer: a hop that may be repeated waits no longer
 UNWELL = 2 / 5  # a metric at which an upstream is set aside, where the tier holds less than half of that
-RETRIES = 1 / 10  # of first hops: what may be spent on hops after one that may have run
+RETRIES, SAVED = 1 / 10, 10  # of first hops: what may be spent on hops after one that may have run, and kept
+ADVICE = 1 / 4  # of the service goal: when a client rolled back is told to come back
 MEMORY = 1 / 16  # weight of the newest sample in a running mean
+FORGET = 1 / 1024  # by which the least hop time seen creeps up at each look
+BELL_BEAT, BELL_ASK = 0, 1
+
+
+def blend(mean: float, sample: float) -> float:
+    """The running mean with one more sample; the first sample stands for itself."""
+    return mean + (sample - mean) * MEMORY if mean else sample
 
 
 class Entry:
     """A reduction metric held for one scope, and the window that reads the next."""
 
-    __slots__ = ("metric", "until", "tried", "bad", "opened")
+    __slots__ = ("bad", "metric", "opened", "tried", "until")
 
     def __init__(self) -> None:
         self.metric, self.until, self.tried, self.bad, self.opened = 0.0, 0, 0, 0, 0
 
     def close(self, now: int, floor: int, validity: int) -> None:
+        if now >= self.until:
+            self.metric = 0.0  # lapsed unrenewed
         if self.tried < floor and now - self.opened < validity:
-            if now >= self.until:
-                self.metric = 0.0  # lapsed unrenewed
             return  # the window stays open: a quiet balancer reaches the floor later, not never
-        if self.tried:
+        if self.tried:  # an empty window neither replaces nor renews
             seen = self.bad / self.tried if self.tried >= floor else 0.0
-            held = self.metric if now < self.until else 0.0
-            new = max(seen, held * EASE)  # eased, not dropped: else the load returns in waves
-            if abs(new - self.metric) >= STEP or now >= self.until:
+            # Throttling thins the traffic read here: a share dropped at the first clean window would let the load
+            # return in waves, so it is eased.
+            new = max(seen, self.metric * EASE)
+            if abs(new - self.metric) >= STEP:
                 self.metric = new if new >= STEP else 0.0
             self.until = now + validity
         self.tried = self.bad = 0
@@ -56,117 +66,123 @@
 class Upstream:
     """The one record of an upstream."""
 
-    __slots__ = (
-        "index", "cell", "zone", "weight", "born", "state", "turn", "out", "load", "heard", "entries", "pace",
-        "held", "aside", "since", "strikes", "sounding", "budget", "filled",
-    )  # fmt: skip
-
     def __init__(self, index: int, profiles: int) -> None:
-        self.index = index
-        self.entries = [Entry() for _ in range(profiles + 1)]  # the last is the upstream's own
-        self.state = State.GONE
-        self.born = -1
+        self.index, self.state, self.born = index, State.GONE, -1
+        self.weight, self.cell, self.zone = 1.0, 0, 0
+        self.entries = [Entry() for _ in range(profiles + 1)]  # by profile; the last is the upstream's own
         self.held: dict[Transaction, int] = {}  # whose hops are out, and their numbers
-        self.out, self.load = 0, 0.0  # hops in flight, and what they cost in mean transactions
+        self.load = 0.0  # what the hops out cost, in mean transactions
+        self.aside = False
 
     def begin(self, born: int, now: int, chance: float) -> None:
-        """A process just started, or one seen for the first time: nothing known of an earlier one holds."""
-        self.born, self.turn, self.pace = born, chance, 1.0
-        self.heard, self.aside, self.since, self.strikes, self.sounding = now, False, 0, 0, False
-        self.budget, self.filled = chance, now
+        """A process just started, or seen for the first time: nothing known of an earlier one holds."""
+        self.born, self.pace = born, 1.0
+        self.turn = self.budget = chance  # a random start, else all balancers turn to it at once
+        self.heard = self.filled = now
+        self.aside, self.since, self.strikes, self.sounding = False, 0, 0, False
+
+
+class Hop:
+    """One sending of a transaction. Cell and zone are kept as they were then: its group remembers it."""
+
+    __slots__ = ("cell", "may_have_run", "out", "sent", "upstream", "zone")
+
+    def __init__(self, upstream: Upstream, now: int) -> None:
+        self.upstream, self.sent, self.cell, self.zone = upstream, now, upstream.cell, upstream.zone
+        self.out = self.may_have_run = True
 
 
 class Transaction:
     """The handle of a transaction taken."""
 
-    __slots__ = ("home", "ref", "profile", "kind", "deadline", "goal", "cost", "heft", "value", "hops", "out", "done", "fresh")
+    __slots__ = ("cost", "deadline", "done", "end", "heft", "home", "hops", "kind", "out", "profile", "ref", "value")
 
-    def __init__(self, home, ref, profile, deadline, goal, cost, heft, value):
+    def __init__(self, home, ref: int, profile: int, deadline: int) -> None:
         self.home, self.ref, self.profile, self.deadline = home, ref, profile, deadline
-        self.kind = home.profiles[profile]
-        self.goal, self.cost, self.heft, self.value = goal, cost, heft, value
-        self.hops: list[list] = []  # upstream, sent at, still out, may have run, cell, zone
+        self.kind, self.end = home.profiles[profile], deadline
+        self.cost = self.heft = 1.0  # the work hinted at, to the mean of all and to its profile's
+        self.value = home.values[profile]
+        self.hops: list[Hop] = []
         self.out, self.done = 0, False
 
     @property
     def over(self) -> bool:
         return self.done and not self.out
 
-    def risk(self) -> list | None:
+    def risk(self) -> Hop | None:
         """The first hop that may have run, or is still out."""
-        return next((hop for hop in self.hops if hop[3]), None)
+        return next((hop for hop in self.hops if hop.may_have_run), None)
 
-    def returned(self, now, number, outcome, took, complete, report=()) -> None:
+    def repeatable(self, now: int) -> bool:
+        """May it be sent again? None has an effect twice, and never are two hops out at once."""
+        risk, effect = self.risk(), self.kind.effect
+        if not risk or effect is Effect.IDEMPOTENT:
+            return not self.out
+        return effect is Effect.JOURNALLED and not self.out and now < risk.sent + self.kind.repeat_window
+
+    def returned(self, now: int, number: int, outcome: Outcome, took: int, complete: bool, report=()) -> None:
         hop = self.hops[number]
-        if not hop[2]:
+        if not hop.out:
             return
-        hop[2] = False
-        hop[3] = not outcome.proves_unrun
+        hop.out, hop.may_have_run = False, not outcome.proves_unrun
         self.out -= 1
         self.done = self.done or complete
-        self.home.learn(now, self, hop[0], outcome, took)
+        self.home.learn(now, self, hop.upstream, outcome, took)
         if not self.done and not self.out:
             self.home.resend(self, now, outcome)
 
-    def begun(self, now, number) -> None:
-        """A streamed answer has started: the client has it, nothing more is owed but its end."""
-        self.deadline = now + self.kind.hard_limit * 1000
+    def begun(self, now: int, number: int) -> None:
+        """A streamed answer has started: the client has it, so its hop is not called off any more."""
+        self.hops[number].upstream.held.pop(self, None)
 
-    def left(self, now) -> None:
+    def left(self, now: int) -> None:
         self.done = True
         self.home.call_off(self)
 
 
 class Balancer:
     def __init__(self, settings: Settings, port: Port, seed: int) -> None:
-        self.port = port
-        self.chance = Random(seed).random
-        s = settings
-        self.profiles, self.hops_allowed, self.zone = s.profiles, s.most_hops, s.zone
+        s, self.port, self.chance = settings, port, Random(seed).random
+        self.profiles, self.most_hops, self.zone, self.balancers = s.profiles, s.most_hops, s.zone, s.balancers
         self.may_cancel, self.may_probe = s.may_cancel, s.may_probe
         self.entrance = s.tier == 0  # calls of the tiers behind are work already paid for
         self.near_first = s.cross_zone_fee > 0
         self.advice = s.longest_advice if s.advises else 0
         self.ask_again = s.ask_within // 8 if s.ask_for_list else 0
-        self.cold_from, self.cold_time = s.cold_share, max(1, s.cold_time)
-        self.cold_excess = s.cold_multiple / 2
-        goals = [p.service_goal for p in s.profiles]
-        self.beat = max(1000, round(min(goals) * BEAT))
+        self.cold_from, self.cold_time, self.cold_excess = s.cold_share, s.cold_time, s.cold_multiple / 2
+        self.beat = max(1000, round(min(p.service_goal for p in s.profiles) * BEAT))
         self.window, self.validity = self.beat * WINDOW, round(self.beat * WINDOW * VALIDITY)
         top = max(p.revenue for p in s.profiles) or 1.0
-        # How far revenue may decide who is turned away first, by what the worst-served profile weighs beside the whole.
-        self.bias = s.whole_weight / ((s.whole_weight + s.class_weight) or 1.0)
-        self.values = [p.revenue / top for p in s.profiles]
+        # Revenue decides who goes first the less, the more the worst-served profile weighs beside the whole.
+        bias = s.whole_weight / ((s.whole_weight + s.class_weight) or 1.0)
+        self.values = [1 - bias * (1 - p.revenue / top) for p in s.profiles]
         self.excess = s.excess_share
-        self.rates = [a / s.balancers / 1e6 for a in s.allowances]
-        self.spare = [[r * self.window, 0] for r in self.rates]
+        self.rates = [a / s.balancers / 1e6 for a in s.allowances]  # this balancer's part of each customer's share
+        self.spare = [(rate * self.window, 0) for rate in self.rates]
         self.upstreams: list[Upstream | None] = []
         self.ready: list[Upstream] = []
         self.near: list[Upstream] = []
+        self.most = 1  # upstreams ever ready at once
         self.tier = Entry()
-        self.out = 0
-        self.served = self.begun_hops = 0
-        self.mean_hint = 0.0
-        self.hints = [0.0] * len(s.profiles)
-        self.usual = [0.0] * len(s.profiles)  # running mean time of a hop, by profile
-        self.took = self.stretch = self.low = 0.0  # a hop's running mean time, and its share of the goal
-        self.ceiling, self.balancers = 0.0, s.balancers
-        self.held_back, self.pressed, self.weighed = False, False, 0
-        self.mean_goal, self.borne = sum(goals) / len(goals), 0.0
+        self.out = 0  # hops in flight, but for those at upstreams set aside
+        self.mean_hint, self.hints = 0.0, [0.0] * len(s.profiles)
+        self.usual = [0.0] * len(s.profiles)  # a hop's running mean time, by profile
+        self.took = self.stretch = self.low = 0.0  # the same over all, as a share of the goal, and the least of that
+        self.ceiling, self.borne = 0.0, 0.0  # the crowd let in, and the mean crowd that was served well
+        self.held_back, self.pressed = False, False
+        self.weighed = self.served = self.last_heard = self.beats = 0
+        self.sent = self.first_tries = 0  # hops and first tries in this window
+        self.send_rate = 0.0  # a microsecond
         self.credit = 1.0
-        self.beats = 0
         self.awake = False
-        self.asked_at = -1
-        self.last_heard = 0
 
     # The list.
 
-    def listed(self, now, rows, full, cached=False) -> None:
+    def listed(self, now: int, rows, full: bool) -> None:
         if not self.awake:
             self.awake = True
             self.tier.opened = now
-            port_wake = self.port.wake
-            port_wake(now + self.beat, 0)
+            self.port.wake(now + self.beat, BELL_BEAT)
             if self.ask_again:
                 self.port.ask_list()
         named = set()
@@ -177,118 +193,117 @@
             if u is None:
                 u = self.upstreams[index] = Upstream(index, len(self.profiles))
             if born != u.born:
-                if u.born >= 0 and u.aside:
-                    self.out += u.out
+                self.out += len(u.held) if u.aside else 0
                 u.begin(born, now, self.chance())
             u.state, u.weight, u.cell, u.zone = state, weight if weight > 0 else 1.0, cell, zone
             named.add(index)
-        if full:  # what a full list leaves out is gone
+        if full:  # what a full list leaves out is gone: sending there would break its drain
             for u in self.upstreams:
                 if u is not None and u.index not in named:
                     u.state = State.GONE
         self.ready = [u for u in self.upstreams if u is not None and u.state is State.READY]
         self.near = [u for u in self.ready if u.zone == self.zone] if self.near_first else self.ready
+        self.most = max(self.most, len(self.ready))
         self.ceiling = self.ceiling or self.bear(START)
 
-    def list_failed(self, now) -> None:
+    def list_failed(self, now: int) -> None:
+        """Asked anew after a while, at random: a registry that failed under load is not stormed."""
         if self.ask_again:
-            self.port.wake(now + round(self.ask_again * (0.5 + self.chance() / 2)), 1)
+            self.port.wake(now + round(self.ask_again * (1 + self.chance()) / 2), BELL_ASK)
 
-    def heard(self, now, peer, text) -> None:
-        """Peers are not asked for anything yet."""
+    def heard(self, now: int, peer: int, text: bytes) -> None:
+        """Each balancer keeps every rule unaided; peers are told nothing yet, so there is nothing to hear."""
 
     # A transaction's way.
 
     def take(self, now, ref, profile, customer, deadline, hint=0, repeat=False) -> Transaction:
-        kind = self.profiles[profile]
-        cost = heft = 1.0
+        tx = Transaction(self, ref, profile, deadline)
         if hint:
-            mean = self.hints[profile] = self.hints[profile] + (hint - self.hints[profile]) * (MEMORY if self.hints[profile] else 1.0)
-            heft = max(1.0, hint / mean)
-            self.mean_hint += (hint - self.mean_hint) * (MEMORY if self.mean_hint else 1.0)
-            cost = hint / self.mean_hint
-        value = 1 - self.bias * (1 - self.values[profile])
-        if self.entrance and customer < len(self.spare) and self.rates[customer] > 0:
-            spare = self.spare[customer]
-            rate = self.rates[customer]
-            spare[0] = min(rate * self.window, spare[0] + rate * (now - spare[1]))
-            spare[1] = now
-            if spare[0] >= 1:
-                spare[0] -= 1
-            else:
-                value *= self.excess  # beyond its share: turned away first, so that its burst does not cost all
-        tx = Transaction(self, ref, profile, deadline, now + kind.service_goal, cost, heft, value)
-        self.send(tx, now, first=True)
+            self.mean_hint = blend(self.mean_hint, hint)
+            self.hints[profile] = blend(self.hints[profile], hint)
+            tx.cost, tx.heft = hint / self.mean_hint, max(1.0, hint / self.hints[profile])
+        self.first_tries += not repeat
+        if self.entrance:
+            if not tx.kind.late_share:  # an answer after the goal is worth nothing: no work for it
+                tx.end = min(deadline, now + tx.kind.service_goal)
+            if customer < len(self.rates) and self.rates[customer] > 0 and not self.inside_share(customer, now):
+                tx.value *= self.excess  # turned away first: else one customer's burst costs all the others
+            if self.out >= self.ceiling * (EQUAL + (1 - EQUAL) * tx.value):
+                # Crowded upstreams choke before they refuse: they count as full above the crowd they bear.
+                self.held_back = True
+                self.give_up(tx)
+                return tx
+        self.send(tx, now)
         return tx
 
-    def send(self, tx, now, first=False) -> None:
-        end = tx.deadline
-        if self.entrance and not tx.kind.late_share:
-            end = min(end, tx.goal)  # an answer after the goal is worth nothing: don't work for it
-        if now >= end:
-            return self.give_up(tx, now)
-        risk = tx.risk()
-        if risk and (tx.kind.effect is Effect.NON_IDEMPOTENT or tx.out):
-            return self.give_up(tx, now)
-        if risk and tx.kind.effect is Effect.JOURNALLED and now >= risk[1] + tx.kind.repeat_window:
-            return self.give_up(tx, now)
-        if first and self.entrance and self.crowded(tx):
-            self.held_back = True
-            return self.give_up(tx, now)
-        u = self.choose(tx, now, risk)
-        if u is None:
-            return self.give_up(tx, now)
-        share, whole_tier = self.governing(u, tx.profile, now)
-        if first and share > 0 and self.chance() < share * (1.5 - tx.value if whole_tier else 1.0):
-            if not whole_tier:
-                u = self.choose(tx, now, risk, clean=True)
-            elif self.entrance:
-                u = None
-            if u is None:
-                return self.give_up(tx, now)
-        self.dispatch(tx, u, now, end)
+    def inside_share(self, customer: int, now: int) -> bool:
+        rate, (left, then) = self.rates[customer], self.spare[customer]
+        left = min(max(1.0, rate * self.window), left + rate * (now - then))
+        inside = left >= 1
+        self.spare[customer] = (left - inside, now)
+        return inside
+
+    def send(self, tx: Transaction, now: int) -> None:
+        if now >= tx.end or len(tx.hops) >= self.most_hops or not tx.repeatable(now):
+            return self.give_up(tx)
+        u = self.choose(tx, now)
+        if u and not tx.hops:
+            share, whole_tier = self.governing(u, tx.profile, now)
+            if whole_tier:  # refused at the entrance only: behind it, a refusal wastes the work done above
+                if share and self.entrance and self.chance() < share * (3 / 2 - tx.value):
+                    u = None
+            elif share and self.chance() < share:
+                u = self.choose(tx, now, clean=True)
+        if not u:
+            return self.give_up(tx)
+        hop_time = tx.end - now
+        self.credit = min(SAVED, self.credit + RETRIES) if not tx.hops else self.credit
+        self.dispatch(tx, u, now)
+        usual = self.usual[tx.profile]
+        if usual and not self.tier.metric and self.credit >= 1 and self.may_follow(tx):
+            hop_time = min(hop_time, self.patience(tx))
+        self.port.send(tx.ref, u.index, max(1, hop_time))
 
-    def governing(self, u, profile, now) -> tuple[float, bool]:
+    def may_follow(self, tx: Transaction) -> bool:
+        """Could another hop follow one that may have run?"""
+        return tx.kind.effect is not Effect.NON_IDEMPOTENT and len(tx.hops) < self.most_hops
+
+    def patience(self, tx: Transaction) -> int:
+        """How long a hop that may be repeated waits; by its hint, lest a heavy one be cut off and begun anew."""
+        return max(tx.kind.service_goal // 2, round(PATIENCE * self.usual[tx.profile] * tx.heft))
+
+    def governing(self, u: Upstream, profile: int, now: int) -> tuple[float, bool]:
         """The finest valid entry's metric, and whether it is the tier's."""
         for entry in (u.entries[profile], u.entries[-1]):
             if entry.metric and now < entry.until:
                 return entry.metric, False
-        return (self.tier.metric, True) if now < self.tier.until else (0.0, True)
-
-    def crowded(self, tx) -> bool:
-        """Would the crowd in flight take longer to serve than is let in? Crowded upstreams choke before refusing."""
-        return self.out >= self.ceiling * (0.6 + 0.4 * tx.value)
-
-    def choose(self, tx, now, risk, clean=False) -> Upstream | None:
-        """Smooth weighted rotation over those not far above the mean in flight."""
-        group = tx.kind.group if risk and tx.kind.effect is Effect.JOURNALLED else Group.ALL
-        used = [hop[0] for hop in tx.hops]
-        spill = self.stretch > SLOW * self.low
-        for pool, careful in ((self.near, True), (self.ready, True), (self.ready, False)):
-            if pool is self.near and spill and pool is not self.ready:
-                continue
-            best, total = None, 0.0
-            weight_all = load_all = 0.0
+        return (self.tier.metric if now < self.tier.until else 0.0), True
+
+    def choose(self, tx: Transaction, now: int, clean: bool = False) -> Upstream | None:
+        """Smooth weighted rotation over those not far above the mean in flight, the near ones first."""
+        risk = tx.risk() if tx.kind.effect is Effect.JOURNALLED else None
+        used = [hop.upstream for hop in tx.hops]
+        # Crossing zones is priced; it is worth it once the near ones take long, or none of them can be had.
+        spill = self.near is self.ready or self.stretch > SLOW * self.low
+        for pool, careful in ((self.ready if spill else self.near, True), (self.ready, True), (self.ready, False)):
+            weights = loads = total = 0.0
             for u in pool:
                 if not u.aside:
-                    weight_all += u.weight
-                    load_all += u.load
-            mean = load_all / weight_all if weight_all else 0.0
+                    weights += u.weight
+                    loads += u.load
+            mean = SKIP * loads / weights if weights else 0.0
+            best = None
             for u in pool:
-                if group is Group.CELL and u.cell != risk[4] or group is Group.ZONE and u.zone != risk[5]:
-                    continue
-                if careful and (u.aside or u in used):
+                if careful and (u.aside or u in used) or risk and not self.same_group(tx, u, risk):
                     continue
+                # A slow upstream that answers in time shows no refusals: its turn shrinks with its pace.
                 weight = u.weight / u.pace if u.pace > SLOW else u.weight
                 if u.born and now - u.born < self.cold_time:
-                    warmth = self.warmth(u, now)
-                    if warmth < 0:
-                        continue
-                    weight *= warmth
-                if careful and u.load > SKIP * mean * weight:
-                    continue
-                if clean and self.governing(u, tx.profile, now) != (0.0, True):
+                    weight *= self.warmth(u, now)
+                if not weight or careful and u.load > mean * weight:
                     continue
+                if clean and (not u.entries[-1].until or self.governing(u, tx.profile, now)[0]):
+                    continue  # one not yet heard counts at the others' mean, which is not zero here
                 u.turn += weight
                 total += weight
                 if best is None or u.turn > best.turn:
@@ -298,187 +313,160 @@
                 return best
         return None
 
-    def warmth(self, u, now) -> float:
-        """The least share of its capacity a cold upstream has, or -1 with its budget spent.
+    def same_group(self, tx: Transaction, u: Upstream, risk: Hop) -> bool:
+        group = tx.kind.group
+        return group is Group.ALL or (u.cell == risk.cell if group is Group.CELL else u.zone == risk.zone)
+
+    def warmth(self, u: Upstream, now: int) -> float:
+        """The least share of its capacity that a cold upstream has; 0 with its budget spent.
 
-        All balancers together must not push it over: each sends it no more than that share of `cold_excess` times
-        what it sends a ready upstream in the mean, whatever the others do.
+        All balancers together must not push it over. Each sends it at most that share of half the multiple of what
+        it sends an upstream in the mean, one hop at a time from a random start, whatever the others do.
         """
         warm = self.cold_from + (1 - self.cold_from) * max(0, now - u.born) / self.cold_time
-        mean = self.begun_hops_rate() / (len(self.ready) or 1)
-        u.budget = min(1.0, u.budget + (now - u.filled) * mean * warm * self.cold_excess)
+        rate = self.send_rate / self.most * warm * self.cold_excess
+        u.budget = min(1.0, u.budget + (now - u.filled) * rate)
         u.filled = now
-        return warm if u.budget >= 1 else -1.0
-
-    def begun_hops_rate(self) -> float:
-        return self.rate_per_us
-
-    rate_per_us = 0.0
+        return warm if u.budget >= 1 else 0.0
 
-    def dispatch(self, tx, u, now, end) -> None:
-        if u.born and now - u.born < self.cold_time:
-            u.budget -= 1
-        if not u.out:
+    def dispatch(self, tx: Transaction, u: Upstream, now: int) -> None:
+        u.budget -= 1
+        if not u.held:
             u.heard = now
-        u.out += 1
+        u.held[tx] = len(tx.hops)
         u.load += tx.cost
         self.out += not u.aside
+        self.sent += 1
         tx.out += 1
-        tx.hops.append([u, now, True, True, u.cell, u.zone])
-        self.begun_hops += 1
-        if len(tx.hops) == 1:
-            self.credit = min(10.0, self.credit + RETRIES)
-        u.held[tx] = len(tx.hops) - 1
-        left = end - now
-        usual = self.usual[tx.profile]
-        if (
-            usual
-            and tx.kind.effect is not Effect.NON_IDEMPOTENT
-            and len(tx.hops) < self.hops_allowed
-            and self.credit >= 1
-            and not self.tier.metric
-        ):
-            left = min(left, max(tx.kind.service_goal // 2, round(PATIENCE * usual * tx.heft)))
-        self.port.send(tx.ref, u.index, max(1, left))
-
-    def resend(self, tx, now, outcome) -> None:
+        tx.hops.append(Hop(u, now))
+
+    def resend(self, tx: Transaction, now: int, outcome: Outcome) -> None:
         """After a hop that brought no answer: another, where the profile allows and the retries are not spent."""
-        if outcome is Outcome.MOOT or len(tx.hops) >= self.hops_allowed:
-            return self.give_up(tx, now)
         if not outcome.proves_unrun:
             if self.credit < 1:  # retries multiply across tiers
-                return self.give_up(tx, now)
+                return self.give_up(tx)
             self.credit -= 1
+        if outcome is Outcome.MOOT:
+            return self.give_up(tx)
         self.send(tx, now)
 
-    def give_up(self, tx, now) -> None:
+    def give_up(self, tx: Transaction) -> None:
         tx.done = True
         self.call_off(tx)
-        effect, risk = tx.kind.effect, tx.risk()
-        if effect is Effect.IDEMPOTENT or not risk or (effect is Effect.JOURNALLED and tx.kind.group is Group.ALL):
-            self.port.roll_back(tx.ref, min(self.advice, tx.kind.service_goal // 4))
+        safe = tx.kind.effect is Effect.IDEMPOTENT or tx.kind.effect is Effect.JOURNALLED and not tx.kind.group
+        if safe or not tx.risk():  # an early rollback says that trying again is harmless
+            self.port.roll_back(tx.ref, min(self.advice, round(tx.kind.service_goal * ADVICE)))
         else:
             self.port.abandon(tx.ref)
 
-    def call_off(self, tx) -> None:
-        if self.may_cancel:
+    def call_off(self, tx: Transaction) -> None:
+        if self.may_cancel and tx.out:
             for number, hop in enumerate(tx.hops):
-                if hop[2]:
+                if hop.out and tx in hop.upstream.held:
                     self.port.cancel(tx.ref, number)
 
     # What is learnt.
 
-    def learn(self, now, tx, u, outcome, took) -> None:
-        u.out -= 1
+    def learn(self, now: int, tx: Transaction, u: Upstream, outcome: Outcome, took: int) -> None:
         u.held.pop(tx, None)
-        u.load = u.load - tx.cost if u.out else 0.0
+        u.load = u.load - tx.cost if u.held else 0.0
         self.out -= not u.aside
         if outcome is Outcome.CANCELLED or outcome is Outcome.MOOT:
             return
-        answered = outcome in (Outcome.COMMITTED, Outcome.ERROR, Outcome.FULL)
-        if answered:
+        if outcome in (Outcome.COMMITTED, Outcome.ERROR, Outcome.FULL):
             u.heard = self.last_heard = now
-        bad = outcome is not Outcome.COMMITTED
-        if outcome is Outcome.COMMITTED:
-            usual = self.usual[tx.profile]
-            self.usual[tx.profile] = usual + (took - usual) * (MEMORY if usual else 1.0)
-            self.took += (took - self.took) * (MEMORY if self.took else 1.0)
-            stretch = took / tx.kind.service_goal
-            self.stretch += (stretch - self.stretch) * (MEMORY if self.stretch else 1.0)
+        bad = outcome is not Outcome.COMMITTED  # quick failures too: else an upstream that fails fast draws load
+        if not bad:
             self.served += 1
-            self.mean_goal += (tx.kind.service_goal - self.mean_goal) * MEMORY
-            if usual:
-                u.pace += (min(took / usual, 10.0) - u.pace) * MEMORY
+            usual = self.usual[tx.profile]
+            u.pace = blend(u.pace, min(took / usual, SAVED)) if usual else u.pace
+            self.usual[tx.profile] = blend(usual, took)
+            self.took = blend(self.took, took)
+            self.stretch = blend(self.stretch, took / tx.kind.service_goal)
             u.strikes = 0
             bad = self.pressed and took > LATE * tx.kind.service_goal
         for entry in (u.entries[tx.profile], u.entries[-1]):
             entry.tried += 1
             entry.bad += bad
-        self.tier.tried += 1
         # One slow or costly hop says nothing of the tier: its time-outs count only while hops take long in the mean.
+        self.tier.tried += 1
         self.tier.bad += bad and (self.pressed or outcome is Outcome.FULL)
         if outcome is Outcome.UNREACHABLE:
             self.set_aside(u, now)
 
-    def set_aside(self, u, now) -> None:
-        if u.aside:
-            return
-        u.aside, u.since = True, now
-        self.out -= u.out  # what hangs there is no crowd elsewhere
-        u.strikes += 1
-        self.sound(u)
+    def set_aside(self, u: Upstream, now: int) -> None:
+        if not u.aside:
+            u.aside, u.since = True, now
+            u.strikes += 1
+            self.out -= len(u.held)  # what hangs there is no crowd elsewhere
+            self.sound(u)
 
-    def sound(self, u) -> None:
+    def sound(self, u: Upstream) -> None:
         if self.may_probe and not u.sounding and u.state is State.READY:
             u.sounding = True
             self.port.probe(u.index)
 
-    def probed(self, now, index, outcome, took, report=()) -> None:
-        u = self.upstreams[index]
-        if u is None:
-            return
-        u.sounding = False
-        if u.aside and outcome is Outcome.COMMITTED and now - u.since >= self.beat << min(u.strikes, 6):
-            self.bring_back(u, now)
-
-    def bring_back(self, u, now) -> None:
-        u.aside, u.heard = False, now
-        self.out += u.out
-        u.entries[-1].metric = 0.0
-
-    def woken(self, now, token) -> None:
-        if token == 1:
-            self.port.ask_list()
-            return
-        self.port.wake(now + self.beat, 0)
+    def probed(self, now: int, index: int, outcome: Outcome, took: int, report=()) -> None:
+        u = self.upstreams[index] if index < len(self.upstreams) else None
+        if u:
+            u.sounding = False
+            if u.aside and outcome is Outcome.COMMITTED and now - u.since >= self.beat << min(u.strikes, 6):
+                self.bring_back(u, now)
+
+    def bring_back(self, u: Upstream, now: int) -> None:
+        u.aside, u.heard, u.entries[-1].metric = False, now, 0.0
+        self.out += len(u.held)
+
+    def woken(self, now: int, token: int) -> None:
+        if token == BELL_ASK:
+            return self.port.ask_list()
+        self.port.wake(now + self.beat, BELL_BEAT)
         self.beats += 1
-        patience = SILENT * self.took + self.beat
         for u in self.ready:
-            if u.aside:
-                if self.may_probe:
-                    self.sound(u)
-                elif now - u.since >= self.validity << min(u.strikes, 6):
+            if u.aside and self.may_probe:
+                self.sound(u)
+            elif u.aside:
+                if now - u.since >= self.validity << min(u.strikes, 6):
                     self.bring_back(u, now)
-            elif u.out and self.last_heard > u.heard and now - u.heard > patience:
+            elif u.held and self.last_heard > u.heard and now - u.heard > SILENT * self.took + self.beat:
                 # Hung upstreams are silent until time-outs: others answer, this one does not.
                 self.set_aside(u, now)
-                if self.may_cancel:
-                    for tx, number in list(u.held.items()):
-                        if now - tx.hops[number][1] < max(tx.kind.service_goal // 2, PATIENCE * self.usual[tx.profile] * tx.heft):
-                            continue
-                        if not tx.done and tx.kind.effect is not Effect.NON_IDEMPOTENT and len(tx.hops) < self.hops_allowed:
-                            self.port.cancel(tx.ref, number)
+                for tx, number in list(u.held.items()) if self.may_cancel else ():
+                    if not tx.done and self.may_follow(tx) and now - tx.hops[number].sent >= self.patience(tx):
+                        self.port.cancel(tx.ref, number)
         if self.served >= TIER_FLOOR and now - self.weighed >= max(self.window // 2, 2 * self.took):
             self.weigh_crowd(now)
-        if self.beats % WINDOW:
-            return
-        self.close_window(now)
+        if self.beats % WINDOW == 0:
+            self.close_window(now)
 
-    def weigh_crowd(self, now) -> None:
-        """Crowded upstreams choke before they refuse: hold the crowd in flight to what the tier has shown it bears."""
-        self.low = min(self.stretch, self.low * (1 + MEMORY / 64)) if self.low else self.stretch
-        target = max(min(TARGET, ROOM[1] * self.low), ROOM[0] * self.low)
-        change = target / self.stretch
+    def weigh_crowd(self, now: int) -> None:
+        """Sets the crowd in flight let in by how long hops take; changes show only after a hop's time or two."""
+        self.low = min(self.stretch, self.low * (1 + FORGET)) if self.low else self.stretch
+        change = max(min(TARGET, ROOM[1] * self.low), ROOM[0] * self.low) / self.stretch
         self.pressed = change < 1
-        if change < 1:
+        if self.pressed:
             self.ceiling = max(SHRINK, change) * min(self.ceiling, self.out)
         else:
-            self.borne += (self.out - self.borne) * (MEMORY if self.borne else 1.0)
+            self.borne = blend(self.borne, self.out)
             if self.held_back:
                 self.ceiling *= min(GROW, change)
         self.ceiling = max(self.ceiling, self.bear(LEAST), self.borne / 2)
         self.served, self.held_back, self.weighed = 0, False, now
 
-    def bear(self, each) -> float:
+    def bear(self, each: int) -> float:
         return each * len(self.ready) / self.balancers
 
-    def close_window(self, now) -> None:
+    def close_window(self, now: int) -> None:
         self.tier.close(now, TIER_FLOOR, self.validity)
+        some_warm = False
         for u in self.ready:
+            some_warm |= now - u.born >= self.cold_time
             for entry in u.entries:
                 entry.close(now, FLOOR, self.validity)
             own = u.entries[-1].metric
             if own >= UNWELL and self.tier.metric < own / 2:
                 self.set_aside(u, now)
-        self.rate_per_us += (self.begun_hops / self.window - self.rate_per_us) * (1 / 4 if self.rate_per_us else 1)
-        self.begun_hops = 0
+        # With nothing warm to send to, what is sent says nothing of what could be: what clients ask first does.
+        seen = (self.sent if some_warm else self.first_tries) / self.window
+        self.send_rate += (seen - self.send_rate) / 4 if self.send_rate else seen
+        self.sent = self.first_tries = 0
