--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -21,6 +21,7 @@
 ROOM = 4 / 3, 3  # of the least such share seen: the target is kept between them
 START, LEAST = 5, 4  # hops an upstream, all balancers together: the crowd let in at first, and always
 GROW, SHRINK = 5 / 4, 1 / 2  # the most that a crowd held back may change between two looks
+CREEP = 26 / 25  # by which the crowd at which hops began to take too long may be passed, each look
 EQUAL = 3 / 5  # of the crowd: let in whatever the revenue; above it the more valuable go first
 SKIP = 5 / 4  # of the mean in flight: an upstream above it is skipped
 SLOW = 3 / 2  # of the tier's usual time: an upstream slower than this has its weight cut in proportion
@@ -143,9 +144,8 @@
 
 class Balancer:
     def __init__(self, settings: Settings, port: Port, seed: int) -> None:
-        s, self.port, self.chance = settings, port, Random(seed).random
-        self.profiles, self.most_hops = s.profiles, s.most_hops
-        self.zone, self.balancers = s.zone, s.balancers
+        s, self.port, self.chance, self.balancers = settings, port, Random(seed).random, settings.balancers
+        self.profiles, self.most_hops, self.zone = s.profiles, s.most_hops, s.zone
         self.may_cancel, self.may_probe = s.may_cancel, s.may_probe
         self.entrance = s.tier == 0  # calls of the tiers behind are work already paid for
         self.near_first = s.cross_zone_fee > 0
@@ -164,13 +164,12 @@
         self.upstreams: list[Upstream | None] = []
         self.ready, self.near = [], []  # in the order of their indices
         self.most = 1  # upstreams ever ready at once
-        self.tier = Entry()
-        self.out = 0  # hops in flight, but for those at upstreams set aside
+        self.tier, self.out = Entry(), 0  # hops in flight, but for those at upstreams set aside
         self.mean_value, self.mean_hint, self.hints = 0.0, 0.0, [0.0] * len(s.profiles)
         self.usual = [0.0] * len(s.profiles)  # a hop's running mean time, by profile
         self.took = self.stretch = self.low = 0.0  # the same over all, to the goal, and the least of that
         self.ceiling, self.borne = 0.0, 0.0  # the crowd let in, and the mean crowd that was served well
-        self.held_back, self.pressed = False, False
+        self.held_back, self.pressed, self.brim = False, False, float("inf")
         self.weighed = self.served = self.last_heard = self.beats = 0
         self.sent = self.first_tries = 0  # hops and first tries in this window
         self.send_rate, self.credit, self.awake = 0.0, 1.0, False  # hops a microsecond; retries to spend
@@ -448,13 +447,16 @@
         """Sets the crowd let in by how long hops take; a change shows only after a hop's time or two."""
         self.low = min(self.stretch, self.low * (1 + FORGET)) if self.low else self.stretch
         change = max(min(TARGET, ROOM[1] * self.low), ROOM[0] * self.low) / self.stretch
+        if change < 1 and not self.pressed:
+            self.brim = self.out  # where it was too much: else it grows there again, and upstreams choke anew
+        self.brim *= CREEP
         self.pressed = change < 1
         if self.pressed:
             self.ceiling = max(SHRINK, change) * min(self.ceiling, self.out)
         else:
             self.borne = blend(self.borne, self.out)
             if self.held_back:
-                self.ceiling *= min(GROW, change)
+                self.ceiling = max(self.ceiling, min(self.ceiling * min(GROW, change), self.brim))
         self.ceiling = max(self.ceiling, self.bear(LEAST), self.borne / 2)
         self.served, self.held_back, self.weighed = 0, False, now
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -244,6 +244,15 @@
     assert made.ceiling == 20
 
 
+def test_crowd_does_not_soon_grow_past_where_hops_began_to_take_long():
+    made, _ = balancer(upstreams=10)
+    made.low, made.stretch, made.out = 0.2, 0.8, 60
+    made.weigh_crowd(T)
+    made.stretch, made.held_back, made.ceiling = 0.2, True, 55.0
+    made.weigh_crowd(T + S)
+    assert 60 < made.ceiling < 66
+
+
 def test_late_hops_count_for_the_tier_only_in_a_crowd():
     for pressed in (False, True):
         made, _ = balancer()
