--- a/dahliabend/benchlink/host.py
+++ b/dahliabend/benchlink/host.py
@@ -41,6 +41,9 @@
     def probe(self, upstream: int) -> None:
         self.out.append(wire.sound_out(self.number, self.addresses[upstream]))
 
+    def close_idle(self, upstream: int) -> None:
+        self.out.append(wire.hang_up(self.number, self.addresses[upstream]))
+
     def wake(self, at: int, token: int) -> None:
         self.out.append(wire.wake_me(self.number, token, at / 1000))
 
@@ -95,8 +98,6 @@
             tx = self.handles.get(fields[1])
             if tx is not None:
                 tx.begun(now, fields[2])
-        elif code == wire.WHISPER:
-            balancer.heard(now, fields[1], rest)
 
     def update(self, now: int, scope: int, lines: bytes) -> None:
         if scope == _FAILED:
--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -1,7 +1,7 @@
 """Every decision of one balancer, by loss throttling with held reduction percentages (docs/design.md).
 
-Build a `Balancer(settings, port, seed)`; it acts through the port. Feed it `listed`, `list_failed`, `probed`,
-`woken` and `heard`; `take` a transaction to get its handle, and tell the handle `returned`, `begun`, `left`.
+Build a `Balancer(settings, port, seed)`; it acts through the port. Feed it `listed`, `list_failed`, `probed`
+and `woken`; `take` a transaction to get its handle, and tell the handle `returned`, `begun`, `left`.
 Its interface (settings, outcomes, `Port`) stands in `dahliabend/model.py`. Times are whole microseconds.
 """
 
@@ -32,7 +32,6 @@
 ADVICE = 1 / 4  # of the service goal: when a client rolled back is told to come back
 MEMORY = 1 / 16  # weight of the newest sample in a running mean
 FORGET = 1 / 1024  # by which the least hop time seen creeps up at each look
-BELL_BEAT, BELL_ASK = 0, 1
 
 
 def blend(mean: float, sample: float) -> float:
@@ -46,8 +45,8 @@
     __slots__ = ("bad", "metric", "opened", "replaced", "tried", "until")
 
     def __init__(self) -> None:
-        self.metric, self.until, self.replaced = 0.0, 0, 0
-        self.tried, self.bad, self.opened = 0, 0, 0
+        self.metric, self.until, self.replaced, self.opened = 0.0, 0, 0, 0
+        self.tried = self.bad = 0
 
     def close(self, now: int, floor: int, validity: int) -> None:
         if now >= self.until:
@@ -82,30 +81,29 @@
         """A process just started, or seen for the first time: nothing known of an earlier one holds."""
         self.born, self.pace = born, 1.0
         self.turn = self.budget = chance  # a random start, else all balancers turn to it at once
-        self.heard = self.filled = now
+        self.heard = self.filled = self.ended = now
         self.aside, self.since, self.strikes, self.sounding = False, 0, 0, False
 
 
 class Hop:
     """One sending of a transaction. Cell and zone are kept as they were then: its group remembers it."""
 
-    __slots__ = ("cell", "may_have_run", "out", "sent", "upstream", "zone")
+    __slots__ = ("cell", "idle", "may_have_run", "out", "sent", "upstream", "zone")
 
     def __init__(self, upstream: Upstream, now: int) -> None:
         self.upstream, self.sent, self.cell, self.zone = upstream, now, upstream.cell, upstream.zone
         self.out = self.may_have_run = True
+        self.idle = 0 if upstream.held else now - upstream.ended
 
 
 class Transaction:
     """The handle of a transaction taken."""
 
     def __init__(self, home, ref: int, profile: int, deadline: int) -> None:
-        self.home, self.ref, self.profile, self.deadline = home, ref, profile, deadline
-        self.kind, self.end = home.profiles[profile], deadline
+        self.home, self.ref, self.profile, self.deadline, self.end = home, ref, profile, deadline, deadline
+        self.kind, self.value = home.profiles[profile], home.values[profile]
         self.cost = self.heft = 1.0  # the work hinted at, to the mean of all and to its profile's
-        self.value = home.values[profile]
-        self.hops: list[Hop] = []
-        self.out, self.done = 0, False
+        self.hops, self.out, self.done = [], 0, False
 
     @property
     def over(self) -> bool:
@@ -124,11 +122,12 @@
 
     def returned(self, now: int, number: int, outcome: Outcome, took: int, complete: bool, report=()) -> None:
         hop = self.hops[number]
-        if not hop.out:
-            return
         hop.out, hop.may_have_run = False, not outcome.proves_unrun
         self.out -= 1
         self.done = self.done or complete
+        if hop.idle and not self.done:
+            unheard = outcome in (Outcome.TIMED_OUT, Outcome.CANCELLED) and now - hop.upstream.heard >= took
+            self.home.learn_rested(hop.idle, unheard)
         self.home.learn(now, self, hop.upstream, outcome, took)
         if not self.done and not self.out:
             self.home.resend(self, now, outcome)
@@ -159,11 +158,14 @@
         bias = s.whole_weight / ((s.whole_weight + s.class_weight) or 1.0)
         self.values = [1 - bias * (1 - p.revenue / top) for p in s.profiles]
         self.excess = s.excess_share
-        self.rates = [a / s.balancers / 1e6 for a in s.allowances]  # this balancer's part of each share
+        self.rates = [
+            (a or 1e12) / s.balancers / 1e6 for a in s.allowances
+        ]  # this balancer's part of each share
         self.spare = [(rate * self.window, 0) for rate in self.rates]
-        self.upstreams: list[Upstream | None] = []
+        self.upstreams: list[Upstream] = []
         self.ready, self.near = [], []  # in the order of their indices
         self.most = 1  # upstreams ever ready at once
+        self.rested, self.gap = Entry(), 0.0  # hops on idle connections; how long the silent ones idled
         self.tier, self.out = Entry(), 0  # hops in flight, but for those at upstreams set aside
         self.mean_value, self.mean_hint, self.hints = 0.0, 0.0, [0.0] * len(s.profiles)
         self.usual = [0.0] * len(s.profiles)  # a hop's running mean time, by profile
@@ -174,22 +176,18 @@
         self.sent = self.first_tries = 0  # hops and first tries in this window
         self.send_rate, self.credit, self.awake = 0.0, 1.0, False  # hops a microsecond; retries to spend
 
-    # The list.
-
     def listed(self, now: int, rows, full: bool) -> None:
         if not self.awake:
             self.awake = True
             self.tier.opened = now
-            self.port.wake(now + self.beat, BELL_BEAT)
+            self.port.wake(now + self.beat, 0)
             if self.ask_again:
                 self.port.ask_list()
         named = set()
         for index, state, born, weight, cell, zone in rows:
             while index >= len(self.upstreams):
-                self.upstreams.append(None)
+                self.upstreams.append(Upstream(len(self.upstreams), len(self.profiles)))
             u = self.upstreams[index]
-            if u is None:
-                u = self.upstreams[index] = Upstream(index, len(self.profiles))
             if born != u.born:
                 self.out += len(u.held) if u.aside else 0
                 u.begin(born, now, self.chance())
@@ -197,9 +195,8 @@
             named.add(index)
         if full:  # what a full list leaves out is gone: sending there would break its drain
             for u in self.upstreams:
-                if u is not None and u.index not in named:
-                    u.state = State.GONE
-        self.ready = [u for u in self.upstreams if u is not None and u.state is State.READY]
+                u.state = u.state if u.index in named else State.GONE
+        self.ready = [u for u in self.upstreams if u.state is State.READY]
         self.near = [u for u in self.ready if u.zone == self.zone] if self.near_first else self.ready
         self.most = max(self.most, len(self.ready))
         self.ceiling = self.ceiling or self.bear(START)
@@ -207,12 +204,7 @@
     def list_failed(self, now: int) -> None:
         """Asked anew after a while, at random: a registry that failed under load is not stormed."""
         if self.ask_again:
-            self.port.wake(now + round(self.ask_again * (1 + self.chance()) / 2), BELL_ASK)
-
-    def heard(self, now: int, peer: int, text: bytes) -> None:
-        """Every rule is kept unaided: peers are told nothing yet, so there is nothing to hear."""
-
-    # A transaction's way.
+            self.port.wake(now + round(self.ask_again * (1 + self.chance()) / 2), 1)
 
     def take(self, now, ref, profile, customer, deadline, hint=0, repeat=False) -> Transaction:
         tx = Transaction(self, ref, profile, deadline)
@@ -237,8 +229,6 @@
 
     def inside_share(self, customer: int, now: int) -> bool:
         rate, (left, then) = self.rates[customer], self.spare[customer]
-        if not rate:
-            return True
         left = min(max(1.0, rate * self.window), left + rate * (now - then))
         inside = left >= 1
         self.spare[customer] = (left - inside, now)
@@ -258,15 +248,13 @@
         if not u:
             return self.give_up(tx)
         hop_time = tx.end - now
-        if not tx.hops:
-            self.credit = min(SAVED, self.credit + RETRIES)
+        self.credit = self.credit if tx.hops else min(SAVED, self.credit + RETRIES)
         self.dispatch(tx, u, now)
         if self.usual[tx.profile] and not self.tier.metric and self.credit >= 1 and self.may_follow(tx):
             hop_time = min(hop_time, self.patience(tx))
         self.port.send(tx.ref, u.index, max(1, hop_time))
 
     def may_follow(self, tx: Transaction) -> bool:
-        """Could another hop follow one that may have run?"""
         return tx.kind.effect is not Effect.NON_IDEMPOTENT and len(tx.hops) < self.most_hops
 
     def patience(self, tx: Transaction) -> int:
@@ -293,8 +281,7 @@
                 if not u.aside:
                     weights += u.weight
                     loads += u.load
-            mean = SKIP * loads / weights if weights else 0.0
-            best = None
+            mean, best = SKIP * loads / weights if weights else 0.0, None
             for u in pool:
                 if careful and (u.aside or u in used) or risk and not self.same_group(tx, u, risk):
                     continue
@@ -320,11 +307,9 @@
         return group is Group.ALL or (u.cell == risk.cell if group is Group.CELL else u.zone == risk.zone)
 
     def warmth(self, u: Upstream, now: int) -> float:
-        """The least share of its capacity that a cold upstream has; 0 with its budget spent.
-
-        All balancers together must not push it over. Each sends it at most that share of half the multiple
-        of what it sends an upstream in the mean, one hop at a time, whatever the others do.
-        """
+        """The least share of its capacity that a cold upstream has; 0 with its budget spent."""
+        # All balancers together must not push it over: each sends at most that share of half the multiple
+        # of what it sends an upstream in the mean, one hop at a time.
         warm = self.cold_from + (1 - self.cold_from) * max(0, now - u.born) / self.cold_time
         rate = self.send_rate / self.most * warm * self.cold_excess
         u.budget = min(1.0, u.budget + (now - u.filled) * rate)
@@ -333,14 +318,18 @@
 
     def dispatch(self, tx: Transaction, u: Upstream, now: int) -> None:
         u.budget -= 1
+        hop = Hop(u, now)
         if not u.held:
             u.heard = now
+            if self.rested.metric >= UNWELL and now < self.rested.until and hop.idle >= self.gap / 2:
+                self.port.close_idle(u.index)
+                hop.idle = 0  # tells nothing of idle connections any more
         u.held[tx] = len(tx.hops)
         u.load += tx.cost
         self.out += not u.aside
         self.sent += 1
         tx.out += 1
-        tx.hops.append(Hop(u, now))
+        tx.hops.append(hop)
 
     def resend(self, tx: Transaction, now: int, outcome: Outcome) -> None:
         """After a hop without an answer: another, where the profile allows and the retries are not spent."""
@@ -356,8 +345,10 @@
         tx.done = True
         self.call_off(tx)
         effect, group = tx.kind.effect, tx.kind.group
-        safe = effect is Effect.IDEMPOTENT or effect is Effect.JOURNALLED and group is Group.ALL
-        if safe or not tx.risk():  # an early rollback says that trying again is harmless
+        known = effect is Effect.JOURNALLED and group is Group.ALL
+        if (
+            effect is Effect.IDEMPOTENT or known or not tx.risk()
+        ):  # an early rollback says that trying again is harmless
             self.port.roll_back(tx.ref, min(self.advice, round(tx.kind.service_goal * ADVICE)))
         else:
             self.port.abandon(tx.ref)
@@ -368,11 +359,16 @@
                 if hop.out and tx in hop.upstream.held:
                     self.port.cancel(tx.ref, number)
 
-    # What is learnt.
+    def learn_rested(self, idle: int, unheard: bool) -> None:
+        """Idle connections may die unseen and swallow the next hop: past half that gap they are closed."""
+        self.gap = blend(self.gap, idle) if unheard else self.gap
+        if unheard or self.gap and idle >= self.gap / 2:
+            self.rested.tried += 1
+            self.rested.bad += unheard
 
     def learn(self, now: int, tx: Transaction, u: Upstream, outcome: Outcome, took: int) -> None:
         u.held.pop(tx, None)
-        u.load = u.load - tx.cost if u.held else 0.0
+        u.ended, u.load = now, u.load - tx.cost if u.held else 0.0
         self.out -= not u.aside
         if outcome is Outcome.CANCELLED or outcome is Outcome.MOOT:
             return
@@ -410,20 +406,19 @@
             self.port.probe(u.index)
 
     def probed(self, now: int, index: int, outcome: Outcome, took: int, report=()) -> None:
-        u = self.upstreams[index] if index < len(self.upstreams) else None
-        if u:
-            u.sounding = False
-            if u.aside and outcome is Outcome.COMMITTED and now - u.since >= self.beat << min(u.strikes, 6):
-                self.bring_back(u, now)
+        u = self.upstreams[index]
+        u.sounding = False
+        if u.aside and outcome is Outcome.COMMITTED and now - u.since >= self.beat << min(u.strikes, 6):
+            self.bring_back(u, now)
 
     def bring_back(self, u: Upstream, now: int) -> None:
         u.aside, u.heard, u.entries[-1].metric = False, now, 0.0
         self.out += len(u.held)
 
     def woken(self, now: int, token: int) -> None:
-        if token == BELL_ASK:
+        if token:
             return self.port.ask_list()
-        self.port.wake(now + self.beat, BELL_BEAT)
+        self.port.wake(now + self.beat, 0)
         self.beats += 1
         for u in self.ready:
             if u.aside and self.may_probe:
@@ -465,6 +460,7 @@
 
     def close_window(self, now: int) -> None:
         self.tier.close(now, TIER_FLOOR, self.validity)
+        self.rested.close(now, TIER_FLOOR, LINGER * self.validity)
         some_warm = False
         for u in self.ready:
             some_warm |= now - u.born >= self.cold_time
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -274,6 +274,21 @@
     assert len(port.of("send")) == 1 and port.of("roll_back")
 
 
+def test_idle_connections_that_swallow_hops_are_closed_before_sending():
+    made, port = balancer(upstreams=1)
+    for n in range(TIER_FLOOR):
+        made.upstreams[0].ended = T - 3 * S
+        taken(made, 2, ref=n).returned(T + S, 0, Outcome.TIMED_OUT, S, False)
+    made.close_window(T + S)
+    made.upstreams[0].aside = False
+    for entry in (made.tier, *made.upstreams[0].entries):
+        entry.metric = 0.0
+    for idle, closed in ((S, 0), (2 * S, 1)):
+        made.upstreams[0].ended = T + S - idle
+        taken(made, 2, now=T + S, ref=99).returned(T + S, 0, Outcome.MOOT, 0, False)
+        assert len(port.of("close_idle")) == closed
+
+
 def test_heavy_transactions_are_waited_for_by_their_hint():
     made, _ = balancer()
     made.usual[0], made.hints[0], made.mean_hint = 400 * MS, 100 * MS, 100 * MS
