--- a/dahliabend/benchlink/host.py
+++ b/dahliabend/benchlink/host.py
@@ -89,9 +89,9 @@
                     del self.handles[fields[1]]
         elif code == wire.HEALTH:
             _, address, how, took, count = fields
-            balancer.probed(
-                now, self.index(address), Outcome(how), settings.us(took), unpack(f">{count}f", rest)
-            )
+            found = self.indices.get(address)
+            if found is not None:  # one in no list of this instance was never probed by it
+                balancer.probed(now, found, Outcome(how), settings.us(took), unpack(f">{count}f", rest))
         elif code == wire.UPDATE:
             self.update(now, fields[2], lists.get(fields[3], b""))
         elif code == wire.HEAD_RECEIVED:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -72,6 +72,8 @@
     host = Host()
     replies = play(host, frame(spawn(), CENSUS, CACHED, job(5)), EMPTY)
     assert replies[0].count(pack(">BI", 26, 26)) == 1 and replies[1] == wire.reply([])
+    health = pack(">BII6sBdB", wire.HEALTH, 20, 3, b"nobody", 1, 1.0, 0)  # of an upstream in no list
+    assert play(host, frame(health))[0] == wire.reply([])
     gone = pack(">BIIQ", wire.CLIENT_GONE, 12, 3, 77)  # one already dropped, and a bell nobody waits for
     assert play(host, frame(gone, pack(">BIIQ", wire.BELL, 12, 3, 99)))
 
