Twins and derived state taken out of the module and the adapter

Calling off had two loops and a mark on each hop: never are two hops out, so the last one, held by its upstream, says all, and the silent case calls the same piece. An entry's validity was read in three places, now by Entry.share. The spilled rotation walked the same pool twice. Reports were unpacked for every outcome and read by nobody. A transaction's events shared their look-up and clean-up in three copies. A list's health values were checked again for every instance that got the list; now once, as the list comes.

--- a/dahliabend/benchlink/host.py
+++ b/dahliabend/benchlink/host.py
@@ -1,7 +1,5 @@
 """Hosts many instances of the decisions in one process; they share nothing but the code."""
 
-from struct import unpack
-
 from dahliabend.benchlink import settings, wire
 from dahliabend.decide import Balancer, Transaction
 from dahliabend.model import Outcome, State
@@ -62,17 +60,10 @@
             self.addresses.append(address)
         return found
 
-    def event(self, now: int, code: int, fields: tuple, rest: bytes, lists: dict[int, bytes]) -> None:
+    def event(self, now: int, code: int, fields: tuple, lists: dict[int, bytes]) -> None:
         balancer = self.balancer
-        if code == wire.RETURNED:
-            _, ref, shot, took, complete, how, _, count = fields
-            tx = self.handles.get(ref)
-            if tx is not None:
-                tx.returned(
-                    now, shot, Outcome(how), settings.us(took), bool(complete), unpack(f">{count}f", rest)
-                )
-                if tx.over:
-                    del self.handles[ref]
+        if code in (wire.RETURNED, wire.CLIENT_GONE, wire.HEAD_RECEIVED):
+            self.happened(now, code, fields)
         elif code == wire.JOB_IN:
             _, ref, lane, billing, _, deadline, hint, options = fields
             hinted = settings.us(hint) if options & 1 else 0
@@ -81,23 +72,27 @@
                 self.handles[ref] = tx
         elif code == wire.BELL:
             balancer.woken(now, fields[1])
-        elif code == wire.CLIENT_GONE:
-            tx = self.handles.get(fields[1])
-            if tx is not None:
-                tx.left(now)
-                if tx.over:
-                    del self.handles[fields[1]]
         elif code == wire.HEALTH:
-            _, address, how, took, count = fields
-            found = self.indices.get(address)
+            found = self.indices.get(fields[1])
             if found is not None:  # one in no list of this instance was never probed by it
-                balancer.probed(now, found, Outcome(how), settings.us(took), unpack(f">{count}f", rest))
+                balancer.probed(now, found, Outcome(fields[2]))
         elif code == wire.UPDATE:
             self.update(now, fields[2], lists.get(fields[3], b""))
-        elif code == wire.HEAD_RECEIVED:
-            tx = self.handles.get(fields[1])
-            if tx is not None:
-                tx.begun(now, fields[2])
+
+    def happened(self, now: int, code: int, fields: tuple) -> None:
+        """One of the events of a transaction; one already dropped may still be named."""
+        tx = self.handles.get(fields[1])
+        if tx is None:
+            return
+        if code == wire.RETURNED:
+            _, _, shot, took, complete, how, _, _ = fields
+            tx.returned(now, shot, Outcome(how), settings.us(took), bool(complete))
+        elif code == wire.CLIENT_GONE:
+            tx.left(now)
+        else:
+            tx.begun(now, fields[2])
+        if tx.over:
+            del self.handles[fields[1]]
 
     def update(self, now: int, scope: int, lines: bytes) -> None:
         if scope == _FAILED:
@@ -123,6 +118,8 @@
         out.clear()
         for code, fields, rest in wire.records(body, count):
             if code == wire.CENSUS:
+                if any(row[5] > State.DRAINING for row in wire.ENTRY.iter_unpack(rest)):
+                    raise wire.Malformed(f"CENSUS: unknown health in list {fields[0]}")
                 self.lists[fields[0]] = rest
                 continue
             number = fields[0]
@@ -135,7 +132,7 @@
             elif instance is not None:
                 self.check(code, fields)
                 try:
-                    instance.event(now, code, fields, rest, self.lists)
+                    instance.event(now, code, fields, self.lists)
                 except Exception as error:
                     out.append(wire.fault(number, f"{type(error).__name__}: {error}"))
             else:
@@ -152,19 +149,13 @@
 
     def check(self, code: int, fields: tuple) -> None:
         """Values outside the wire's tables are no decision's fault."""
-        if (
-            code == wire.RETURNED
-            and not 1 <= fields[5] <= 8
-            or code == wire.HEALTH
-            and not 1 <= fields[2] <= 8
-        ):
+        outcome = (
+            fields[5] if code == wire.RETURNED else fields[2] if code == wire.HEALTH else Outcome.COMMITTED
+        )
+        if not Outcome.COMMITTED <= outcome <= Outcome.MOOT:
             raise wire.Malformed(f"{wire.NAMES[code]}: unknown outcome")
         if code == wire.UPDATE:
             if fields[2] > _FAILED:
                 raise wire.Malformed(f"UPDATE: unknown scope {fields[2]}")
             if fields[2] != _FAILED and fields[3] not in self.lists:
                 raise wire.Malformed(f"UPDATE: list {fields[3]} was never sent")
-            if fields[2] != _FAILED:
-                for row in wire.ENTRY.iter_unpack(self.lists[fields[3]]):
-                    if row[5] > State.DRAINING:
-                        raise wire.Malformed(f"UPDATE: unknown health {row[5]}")
--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -48,6 +48,10 @@
         self.metric, self.until, self.replaced, self.opened = 0.0, 0, 0, 0
         self.tried = self.bad = 0
 
+    def share(self, now: int) -> float:
+        """The metric while it is valid."""
+        return self.metric if now < self.until else 0.0
+
     def close(self, now: int, floor: int, validity: int) -> None:
         if now >= self.until:
             self.metric = 0.0  # lapsed unrenewed
@@ -73,7 +77,7 @@
         self.index, self.state, self.born = index, State.GONE, -1
         self.weight, self.cell, self.zone = 1.0, 0, 0
         self.entries = [Entry() for _ in range(profiles + 1)]  # by profile; the last is the upstream's own
-        self.held: dict[Transaction, int] = {}  # whose hops are out, and their numbers
+        self.held: dict[Transaction, Hop] = {}  # the hops out
         self.load = 0.0  # what the hops out cost, in mean transactions
         self.aside = False
 
@@ -88,11 +92,11 @@
 class Hop:
     """One sending of a transaction. Cell and zone are kept as they were then: its group remembers it."""
 
-    __slots__ = ("cell", "idle", "may_have_run", "out", "sent", "upstream", "zone")
+    __slots__ = ("cell", "idle", "may_have_run", "sent", "upstream", "zone")
 
     def __init__(self, upstream: Upstream, now: int) -> None:
         self.upstream, self.sent, self.cell, self.zone = upstream, now, upstream.cell, upstream.zone
-        self.out = self.may_have_run = True
+        self.may_have_run = True
         self.idle = 0 if upstream.held else now - upstream.ended
 
 
@@ -100,7 +104,7 @@
     """The handle of a transaction taken."""
 
     def __init__(self, home, ref: int, profile: int, deadline: int) -> None:
-        self.home, self.ref, self.profile, self.deadline, self.end = home, ref, profile, deadline, deadline
+        self.home, self.ref, self.profile, self.end = home, ref, profile, deadline
         self.kind, self.value = home.profiles[profile], home.values[profile]
         self.cost = self.heft = 1.0  # the work hinted at, to the mean of all and to its profile's
         self.hops, self.out, self.done = [], 0, False
@@ -120,9 +124,9 @@
             return not self.out
         return effect is Effect.JOURNALLED and not self.out and now < risk.sent + self.kind.repeat_window
 
-    def returned(self, now: int, number: int, outcome: Outcome, took: int, complete: bool, report=()) -> None:
+    def returned(self, now: int, number: int, outcome: Outcome, took: int, complete: bool) -> None:
         hop = self.hops[number]
-        hop.out, hop.may_have_run = False, not outcome.proves_unrun
+        hop.may_have_run = not outcome.proves_unrun
         self.out -= 1
         self.done = self.done or complete
         if hop.idle and not self.done:
@@ -158,9 +162,7 @@
         bias = s.whole_weight / ((s.whole_weight + s.class_weight) or 1.0)
         self.values = [1 - bias * (1 - p.revenue / top) for p in s.profiles]
         self.excess = s.excess_share
-        self.rates = [
-            (a or 1e12) / s.balancers / 1e6 for a in s.allowances
-        ]  # this balancer's part of each share
+        self.rates = [(a or 1e12) / s.balancers / 1e6 for a in s.allowances]  # its part of each share
         self.spare = [(rate * self.window, 0) for rate in self.rates]
         self.upstreams: list[Upstream] = []
         self.ready, self.near = [], []  # in the order of their indices
@@ -264,9 +266,9 @@
     def governing(self, u: Upstream, profile: int, now: int) -> tuple[float, bool]:
         """The finest valid entry's metric, and whether it is the tier's."""
         for entry in (u.entries[profile], u.entries[-1]):
-            if entry.metric and now < entry.until:
-                return entry.metric, False
-        return (self.tier.metric if now < self.tier.until else 0.0), True
+            if share := entry.share(now):
+                return share, False
+        return self.tier.share(now), True
 
     def choose(self, tx: Transaction, now: int, clean: bool = False) -> Upstream | None:
         """Smooth weighted rotation over those not far above the mean in flight, the near ones first."""
@@ -274,8 +276,8 @@
         used = [hop.upstream for hop in tx.hops]
         # Crossing zones is priced; it is worth it once the near ones take long, or none of them can be had.
         spill = self.near is self.ready or self.stretch > SLOW * self.low
-        first = self.ready if spill else self.near
-        for pool, careful in ((first, True), (self.ready, True), (self.ready, False)):
+        pools = ((self.ready, True), (self.ready, False))
+        for pool, careful in pools if spill else ((self.near, True), *pools):
             weights = loads = total = 0.0
             for u in pool:
                 if not u.aside:
@@ -321,10 +323,10 @@
         hop = Hop(u, now)
         if not u.held:
             u.heard = now
-            if self.rested.metric >= UNWELL and now < self.rested.until and hop.idle >= self.gap / 2:
+            if self.rested.share(now) >= UNWELL and hop.idle >= self.gap / 2:
                 self.port.close_idle(u.index)
                 hop.idle = 0  # tells nothing of idle connections any more
-        u.held[tx] = len(tx.hops)
+        u.held[tx] = hop
         u.load += tx.cost
         self.out += not u.aside
         self.sent += 1
@@ -346,18 +348,15 @@
         self.call_off(tx)
         effect, group = tx.kind.effect, tx.kind.group
         known = effect is Effect.JOURNALLED and group is Group.ALL
-        if (
-            effect is Effect.IDEMPOTENT or known or not tx.risk()
-        ):  # an early rollback says that trying again is harmless
+        # An early rollback says that trying again is harmless.
+        if effect is Effect.IDEMPOTENT or known or not tx.risk():
             self.port.roll_back(tx.ref, min(self.advice, round(tx.kind.service_goal * ADVICE)))
         else:
             self.port.abandon(tx.ref)
 
     def call_off(self, tx: Transaction) -> None:
-        if self.may_cancel and tx.out:
-            for number, hop in enumerate(tx.hops):
-                if hop.out and tx in hop.upstream.held:
-                    self.port.cancel(tx.ref, number)
+        if self.may_cancel and tx.out and tx in tx.hops[-1].upstream.held:
+            self.port.cancel(tx.ref, len(tx.hops) - 1)
 
     def learn_rested(self, idle: int, unheard: bool) -> None:
         """Idle connections may die unseen and swallow the next hop: past half that gap they are closed."""
@@ -405,7 +404,7 @@
             u.sounding = True
             self.port.probe(u.index)
 
-    def probed(self, now: int, index: int, outcome: Outcome, took: int, report=()) -> None:
+    def probed(self, now: int, index: int, outcome: Outcome) -> None:
         u = self.upstreams[index]
         u.sounding = False
         if u.aside and outcome is Outcome.COMMITTED and now - u.since >= self.beat << min(u.strikes, 6):
@@ -429,10 +428,9 @@
             elif u.held and self.last_heard > u.heard and now - u.heard > SILENT * self.took + self.beat:
                 # Hung upstreams are silent until time-outs: others answer, this one does not.
                 self.set_aside(u, now)
-                for tx, number in list(u.held.items()) if self.may_cancel else ():
-                    age = now - tx.hops[number].sent
-                    if not tx.done and self.may_follow(tx) and age >= self.patience(tx):
-                        self.port.cancel(tx.ref, number)
+                for tx, hop in tuple(u.held.items()):
+                    if not tx.done and self.may_follow(tx) and now - hop.sent >= self.patience(tx):
+                        self.call_off(tx)
         if self.served >= TIER_FLOOR and now - self.weighed >= max(self.window // 2, 2 * self.took):
             self.weigh_crowd(now)
         if self.beats % WINDOW == 0:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -205,9 +205,9 @@
     assert u.aside and ("probe", u.index) in port and ("cancel", 1, 0) in port and made.out == 0
     tx.returned(T + 2 * S, 0, Outcome.CANCELLED, S, False)
     assert port.of("send")[1][2] != u.index
-    made.probed(T + 3 * S, u.index, Outcome.TIMED_OUT, MS)
+    made.probed(T + 3 * S, u.index, Outcome.TIMED_OUT)
     assert u.aside
-    made.probed(T + 4 * S, u.index, Outcome.COMMITTED, MS)
+    made.probed(T + 4 * S, u.index, Outcome.COMMITTED)
     assert not u.aside
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -98,6 +98,7 @@
         (frame(b"\x19\0\0\0\x04\0\0\0\x03"), "needed"), (pack(">dII", 1.0, 5, 0) + b"x", "left over"),
         (frame(CENSUS[:9] + b"\x03" + CENSUS[10:]), "do not fit"), (frame(job(1)), "never started"),
         (frame(spawn(conf={"balancers": "x"})), "settings"), (frame(spawn(), CACHED), "never sent"),
+        (frame(CENSUS[:-3] + b"\x03\0\0"), "unknown health"),
         (frame(spawn(conf={**CONF, "profiles": []})), "settings"),
     ],
 )  # fmt: skip
