--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -172,7 +172,7 @@
         self.mean_value, self.mean_hint, self.hints = 0.0, 0.0, [0.0] * len(s.profiles)
         self.usual = [0.0] * len(s.profiles)  # a hop's running mean time, by profile
         self.took = self.stretch = self.low = 0.0  # the same over all, to the goal, and the least of that
-        self.crowd = 0.0
+        self.others = 1 - 1 / s.balancers
         self.ceiling, self.borne = 0.0, 0.0  # the crowd let in, and the mean crowd that was served well
         self.held_back, self.pressed, self.brim = False, False, float("inf")
         self.weighed = self.served = self.last_heard = self.beats = 0
@@ -222,11 +222,10 @@
             if customer < len(self.rates) and not self.inside_share(customer, now):
                 tx.value *= self.excess  # turned away first: else one customer's burst costs all the others
             self.mean_value = blend(self.mean_value, tx.value)
+            limit = self.ceiling * (EQUAL + (1 - EQUAL) * tx.value)
             # One of many balancers holds few hops at once, more or fewer by chance that evens out over all of
-            # them: it goes by its mean crowd, or it refuses what the tier could serve.
-            self.crowd = blend(self.crowd, self.out)
-            crowd = self.crowd + (self.out - self.crowd) / self.balancers
-            if crowd >= self.ceiling * (EQUAL + (1 - EQUAL) * tx.value):
+            # them: the bound leaves room for it, or it refuses what the tier could serve.
+            if self.out >= limit + (limit * self.others) ** 0.5:
                 # Crowded upstreams choke before they refuse: they count as full above the crowd they bear.
                 self.held_back = True
                 self.give_up(tx)
