Few hops, few upstreams: rendezvous sets where not all are heard within a validity

Cause: at the new size a balancer's few hops are spread over hundreds of upstreams, so entries, pace and silence never learn of a slow, hung or choked one, and the busiest node has 3.6 times the mean. A balancer that cannot come to each upstream once a validity now uses those ranking highest in a hash of its number and theirs, as many as it comes to twice a validity (8 at least).

--- a/dahliabend/benchlink/host.py
+++ b/dahliabend/benchlink/host.py
@@ -99,7 +99,7 @@
             self.balancer.list_failed(now)
             return
         rows = [
-            (self.index(address), State(state), settings.us(born), weight, cell, zone)
+            (self.index(address), State(state), settings.us(born), weight, cell, zone, address)
             for born, weight, cell, zone, address, state, _ in wire.ENTRY.iter_unpack(lines)
         ]
         self.balancer.listed(now, rows, full=scope != _DELTA)
--- a/dahliabend/benchlink/settings.py
+++ b/dahliabend/benchlink/settings.py
@@ -55,6 +55,7 @@
     discovery: str
     tier: int = 0
     locality: int = 0
+    self_index: int = -1
     tenants: list[_Tenant] = []
     excess_revenue: float = 1.0
     goal: _Goal = msgspec.field(default_factory=_Goal)
@@ -79,6 +80,8 @@
     caps, contract = conf.caps, conf.contract
     if not conf.profiles:
         raise ValueError("no profiles")
+    if not -1 <= conf.self_index < max(1, conf.balancers):
+        raise ValueError(f"self-index {conf.self_index} is not one of {conf.balancers} balancers")
     profiles = []
     for p in conf.profiles:
         if p.semantics not in _EFFECTS or p.group not in _GROUPS:
@@ -96,6 +99,7 @@
         )
     return Settings(
         balancers=max(1, conf.balancers),
+        number=conf.self_index,
         tier=conf.tier,
         zone=conf.locality,
         profiles=tuple(profiles),
--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -5,6 +5,7 @@
 Its interface (settings, outcomes, `Port`) stands in `dahliabend/model.py`. Times are whole microseconds.
 """
 
+from hashlib import blake2b
 from random import Random
 
 from dahliabend.model import Effect, Group, Outcome, Port, Settings, State
@@ -21,7 +22,6 @@
 ROOM = 4 / 3, 3  # of the least such share seen: the target is kept between them
 START, LEAST = 5, 4  # hops an upstream, all balancers together: the crowd let in at first, and always
 GROW, SHRINK = 5 / 4, 1 / 2  # the most that a crowd held back may change between two looks
-CREEP = 26 / 25  # by which the crowd at which hops began to take too long may be passed, each look
 EQUAL = 3 / 5  # of the crowd: let in whatever the revenue; above it the more valuable go first
 SKIP = 5 / 4  # of the mean in flight: an upstream above it is skipped
 SLOW = 3 / 2  # of the tier's usual time: an upstream slower than this has its weight cut in proportion
@@ -31,6 +31,7 @@
 RETRIES, SAVED = 1 / 10, 10  # of first hops: what may be spent on hops after one that may have run, and kept
 ADVICE = 1 / 4  # of the service goal: when a client rolled back is told to come back
 MEMORY = 1 / 16  # weight of the newest sample in a running mean
+SET = 8  # upstreams in use at the least, where not all can be
 FORGET = 1 / 1024  # by which the least hop time seen creeps up at each look
 
 
@@ -73,8 +74,8 @@
 class Upstream:
     """The one record of an upstream."""
 
-    def __init__(self, index: int, profiles: int) -> None:
-        self.index, self.state, self.born = index, State.GONE, -1
+    def __init__(self, index: int, rank: bytes, profiles: int) -> None:
+        self.index, self.rank, self.state, self.born = index, rank, State.GONE, -1
         self.weight, self.cell, self.zone = 1.0, 0, 0
         self.entries = [Entry() for _ in range(profiles + 1)]  # by profile; the last is the upstream's own
         self.held: dict[Transaction, Hop] = {}  # the hops out
@@ -151,7 +152,7 @@
         self.profiles, self.most_hops, self.zone = s.profiles, s.most_hops, s.zone
         self.may_cancel, self.may_probe = s.may_cancel, s.may_probe
         self.entrance = s.tier == 0  # calls of the tiers behind are work already paid for
-        self.near_first = s.cross_zone_fee > 0
+        self.near_first, self.excess = s.cross_zone_fee > 0, s.excess_share
         self.advice = s.longest_advice if s.advises else 0
         self.ask_again = s.ask_within // 8 if s.ask_for_list else 0
         self.cold_from, self.cold_time, self.cold_excess = s.cold_share, s.cold_time, s.cold_multiple / 2
@@ -161,22 +162,20 @@
         # Revenue decides the less, the more the worst-served profile weighs beside the whole.
         bias = s.whole_weight / ((s.whole_weight + s.class_weight) or 1.0)
         self.values = [1 - bias * (1 - p.revenue / top) for p in s.profiles]
-        self.excess = s.excess_share
         self.rates = [(a or 1e12) / s.balancers / 1e6 for a in s.allowances]  # its part of each share
         self.spare = [(rate * self.window, 0) for rate in self.rates]
         self.upstreams: list[Upstream] = []
-        self.ready, self.near = [], []  # in the order of their indices
-        self.most = 1  # upstreams ever ready at once
+        self.ready, self.near, self.using = [], [], []  # the highest ranks first
+        self.number, self.reach, self.most = s.number, 1 << 30, 1  # upstreams in use, and ever ready at once
         self.rested, self.gap = Entry(), 0.0  # hops on idle connections; how long the silent ones idled
         self.tier, self.out = Entry(), 0  # hops in flight, but for those at upstreams set aside
         self.mean_value, self.mean_hint, self.hints = 0.0, 0.0, [0.0] * len(s.profiles)
         self.usual = [0.0] * len(s.profiles)  # a hop's running mean time, by profile
         self.took = self.stretch = self.low = 0.0  # the same over all, to the goal, and the least of that
-        self.others = 1 - 1 / s.balancers
-        self.ceiling, self.borne = 0.0, 0.0  # the crowd let in, and the mean crowd that was served well
-        self.held_back, self.pressed, self.brim = False, False, float("inf")
-        self.weighed = self.served = self.last_heard = self.beats = 0
-        self.sent = self.first_tries = 0  # hops and first tries in this window
+        # The crowd let in, the mean that arrivals find, and the mean that was served well.
+        self.ceiling, self.crowd, self.borne, self.others = 0.0, 0.0, 0.0, 1 - 1 / s.balancers
+        self.held_back = self.pressed = False
+        self.weighed = self.served = self.last_heard = self.beats = self.sent = self.first_tries = 0
         self.send_rate, self.credit, self.awake = 0.0, 1.0, False  # hops a microsecond; retries to spend
 
     def listed(self, now: int, rows, full: bool) -> None:
@@ -186,23 +185,28 @@
             self.port.wake(now + self.beat, 0)
             if self.ask_again:
                 self.port.ask_list()
-        named = set()
-        for index, state, born, weight, cell, zone in rows:
-            while index >= len(self.upstreams):
-                self.upstreams.append(Upstream(len(self.upstreams), len(self.profiles)))
+        named = {row[0] for row in rows}
+        for index, state, born, weight, cell, zone, ident in rows:
+            if index == len(self.upstreams):
+                rank = blake2b(ident, key=b"%d" % self.number, digest_size=8).digest()
+                self.upstreams.append(Upstream(index, rank, len(self.profiles)))
             u = self.upstreams[index]
             if born != u.born:
                 self.out += len(u.held) if u.aside else 0
                 u.begin(born, now, self.chance())
             u.state, u.weight, u.cell, u.zone = state, weight if weight > 0 else 1.0, cell, zone
-            named.add(index)
-        if full:  # what a full list leaves out is gone: sending there would break its drain
-            for u in self.upstreams:
-                u.state = u.state if u.index in named else State.GONE
-        self.ready = [u for u in self.upstreams if u.state is State.READY]
+        for u in self.upstreams if full else ():  # what a full list leaves out is gone: a drain
+            u.state = u.state if u.index in named else State.GONE
+        ready = (u for u in self.upstreams if u.state is State.READY)
+        self.ready = sorted(ready, key=lambda u: u.rank, reverse=True)
         self.near = [u for u in self.ready if u.zone == self.zone] if self.near_first else self.ready
         self.most = max(self.most, len(self.ready))
-        self.ceiling = self.ceiling or self.bear(START)
+        self.ceiling = self.ceiling or START * len(self.ready) / self.balancers
+        self.narrow()
+
+    def narrow(self) -> None:
+        """The set in use: the highest ranks, as many as this balancer's few hops can tell of."""
+        self.using = [u for u in self.near if not u.aside][: self.reach if self.number >= 0 else None]
 
     def list_failed(self, now: int) -> None:
         """Asked anew after a while, at random: a registry that failed under load is not stormed."""
@@ -223,22 +227,20 @@
                 tx.value *= self.excess  # turned away first: else one customer's burst costs all the others
             self.mean_value = blend(self.mean_value, tx.value)
             limit = self.ceiling * (EQUAL + (1 - EQUAL) * tx.value)
-            # One of many balancers holds few hops at once, more or fewer by chance that evens out over all of
-            # them: the bound leaves room for it, or it refuses what the tier could serve.
-            if self.out >= limit + (limit * self.others) ** 0.5:
-                # Crowded upstreams choke before they refuse: they count as full above the crowd they bear.
+            # Crowded upstreams choke before they refuse: they count as full above the crowd they bear, with room
+            # for chance where balancers are many: else each refuses what all together could serve.
+            self.crowd = blend(self.crowd, self.out)
+            if self.out >= limit + ((limit * self.others) ** 0.5 if self.crowd < limit else 0.0):
                 self.held_back = True
-                self.give_up(tx)
-                return tx
+                tx.end = now  # nothing more for it
         self.send(tx, now)
         return tx
 
     def inside_share(self, customer: int, now: int) -> bool:
         rate, (left, then) = self.rates[customer], self.spare[customer]
         left = min(max(1.0, rate * self.window), left + rate * (now - then))
-        inside = left >= 1
-        self.spare[customer] = (left - inside, now)
-        return inside
+        self.spare[customer] = (left - (left >= 1), now)
+        return left >= 1
 
     def send(self, tx: Transaction, now: int) -> None:
         if now >= tx.end or len(tx.hops) >= self.most_hops or not tx.repeatable(now):
@@ -279,9 +281,10 @@
         risk = tx.risk() if tx.kind.effect is Effect.JOURNALLED else None
         used = [hop.upstream for hop in tx.hops]
         # Crossing zones is priced; it is worth it once the near ones take long, or none of them can be had.
-        spill = self.near is self.ready or self.stretch > SLOW * self.low
-        pools = ((self.ready, True), (self.ready, False))
-        for pool, careful in pools if spill else ((self.near, True), *pools):
+        pools = [(self.ready, True), (self.ready, False)]
+        if self.near is self.ready or self.stretch <= SLOW * self.low:
+            pools = [(self.using, True), (self.near, True), *pools]
+        for pool, careful in pools:
             weights = loads = total = 0.0
             for u in pool:
                 if not u.aside:
@@ -325,11 +328,10 @@
     def dispatch(self, tx: Transaction, u: Upstream, now: int) -> None:
         u.budget -= 1
         hop = Hop(u, now)
-        if not u.held:
-            u.heard = now
-            if self.rested.share(now) >= UNWELL and hop.idle >= self.gap / 2:
-                self.port.close_idle(u.index)
-                hop.idle = 0  # tells nothing of idle connections any more
+        u.heard = u.heard if u.held else now
+        if hop.idle >= self.gap / 2 and hop.idle and self.rested.share(now) >= UNWELL:
+            self.port.close_idle(u.index)
+            hop.idle = 0  # tells nothing of idle connections any more
         u.held[tx] = hop
         u.load += tx.cost
         self.out += not u.aside
@@ -339,21 +341,17 @@
 
     def resend(self, tx: Transaction, now: int, outcome: Outcome) -> None:
         """After a hop without an answer: another, where the profile allows and the retries are not spent."""
-        if not outcome.proves_unrun:
-            if self.credit < 1:  # retries multiply across tiers
-                return self.give_up(tx)
-            self.credit -= 1
-        if outcome is Outcome.MOOT:
+        costs = not outcome.proves_unrun  # retries multiply across tiers
+        if outcome is Outcome.MOOT or costs and self.credit < 1:
             return self.give_up(tx)
+        self.credit -= costs
         self.send(tx, now)
 
     def give_up(self, tx: Transaction) -> None:
         tx.done = True
         self.call_off(tx)
-        effect, group = tx.kind.effect, tx.kind.group
-        known = effect is Effect.JOURNALLED and group is Group.ALL
-        # An early rollback says that trying again is harmless.
-        if effect is Effect.IDEMPOTENT or known or not tx.risk():
+        known = tx.kind.effect is Effect.JOURNALLED and tx.kind.group is Group.ALL
+        if tx.kind.effect is Effect.IDEMPOTENT or known or not tx.risk():  # harmless to try again
             self.port.roll_back(tx.ref, min(self.advice, round(tx.kind.service_goal * ADVICE)))
         else:
             self.port.abandon(tx.ref)
@@ -373,7 +371,7 @@
         u.held.pop(tx, None)
         u.ended, u.load = now, u.load - tx.cost if u.held else 0.0
         self.out -= not u.aside
-        if outcome is Outcome.CANCELLED or outcome is Outcome.MOOT:
+        if outcome in (Outcome.CANCELLED, Outcome.MOOT):
             return
         if outcome in (Outcome.COMMITTED, Outcome.ERROR, Outcome.FULL):
             u.heard = self.last_heard = now
@@ -401,6 +399,7 @@
             u.aside, u.since = True, now
             u.strikes += 1
             self.out -= len(u.held)  # what hangs there is no crowd elsewhere
+            self.narrow()
             self.sound(u)
 
     def sound(self, u: Upstream) -> None:
@@ -417,6 +416,7 @@
     def bring_back(self, u: Upstream, now: int) -> None:
         u.aside, u.heard, u.entries[-1].metric = False, now, 0.0
         self.out += len(u.held)
+        self.narrow()
 
     def woken(self, now: int, token: int) -> None:
         if token:
@@ -424,10 +424,9 @@
         self.port.wake(now + self.beat, 0)
         self.beats += 1
         for u in self.ready:
-            if u.aside and self.may_probe:
+            if u.aside:
                 self.sound(u)
-            elif u.aside:
-                if now - u.since >= self.validity << min(u.strikes, 6):
+                if not self.may_probe and now - u.since >= self.validity << min(u.strikes, 6):
                     self.bring_back(u, now)
             elif u.held and self.last_heard > u.heard and now - u.heard > SILENT * self.took + self.beat:
                 # Hung upstreams are silent until time-outs: others answer, this one does not.
@@ -444,22 +443,16 @@
         """Sets the crowd let in by how long hops take; a change shows only after a hop's time or two."""
         self.low = min(self.stretch, self.low * (1 + FORGET)) if self.low else self.stretch
         change = max(min(TARGET, ROOM[1] * self.low), ROOM[0] * self.low) / self.stretch
-        if change < 1 and not self.pressed:
-            self.brim = self.out  # where it was too much: else it grows there again, and upstreams choke anew
-        self.brim *= CREEP
         self.pressed = change < 1
         if self.pressed:
             self.ceiling = max(SHRINK, change) * min(self.ceiling, self.out)
         else:
             self.borne = blend(self.borne, self.out)
             if self.held_back:
-                self.ceiling = max(self.ceiling, min(self.ceiling * min(GROW, change), self.brim))
-        self.ceiling = max(self.ceiling, self.bear(LEAST), self.borne / 2)
+                self.ceiling = max(self.ceiling, self.ceiling * min(GROW, change))
+        self.ceiling = max(self.ceiling, LEAST * len(self.ready) / self.balancers, self.borne / 2)
         self.served, self.held_back, self.weighed = 0, False, now
 
-    def bear(self, each: int) -> float:
-        return each * len(self.ready) / self.balancers
-
     def close_window(self, now: int) -> None:
         self.tier.close(now, TIER_FLOOR, self.validity)
         self.rested.close(now, TIER_FLOOR, LINGER * self.validity)
@@ -475,3 +468,9 @@
         seen = (self.sent if some_warm else self.first_tries) / self.window
         self.send_rate += (seen - self.send_rate) / 4 if self.send_rate else seen
         self.sent = self.first_tries = 0
+        # It can use all upstreams if it comes to each within a validity; if not, to those of its set twice.
+        heard = self.send_rate * self.validity
+        reach = self.most if heard >= self.most else max(SET, round(heard / 2))
+        if abs(reach - self.reach) > self.reach / 4:
+            self.reach = reach
+            self.narrow()
--- a/dahliabend/model.py
+++ b/dahliabend/model.py
@@ -66,6 +66,7 @@
 @dataclass(frozen=True, slots=True)
 class Settings:
     balancers: int
+    number: int  # of this balancer among them; -1: not told
     tier: int
     zone: int
     profiles: tuple[Profile, ...]
