--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -227,8 +227,8 @@
                 tx.value *= self.excess  # turned away first: else one customer's burst costs all the others
             self.mean_value = blend(self.mean_value, tx.value)
             limit = self.ceiling * (EQUAL + (1 - EQUAL) * tx.value)
-            # Crowded upstreams choke before they refuse: they count as full above the crowd they bear, with room
-            # for chance where balancers are many: else each refuses what all together could serve.
+            # Crowded upstreams choke before they refuse: they count as full above the crowd they bear, with
+            # room for chance where balancers are many: else each refuses what all together could serve.
             self.crowd = blend(self.crowd, self.out)
             if self.out >= limit + ((limit * self.others) ** 0.5 if self.crowd < limit else 0.0):
                 self.held_back = True
