--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -51,7 +51,6 @@
         self.tried = self.bad = 0
 
     def share(self, now: int) -> float:
-        """The metric while it is valid."""
         return self.metric if now < self.until else 0.0
 
     def close(self, now: int, floor: int, validity: int) -> None:
@@ -88,7 +87,7 @@
         self.born, self.pace = born, 1.0
         self.turn = self.budget = chance  # a random start, else all balancers turn to it at once
         self.heard = self.filled = self.ended = now
-        self.aside, self.since, self.strikes, self.sounding = False, 0, 0, False
+        self.aside, self.sounding, self.since, self.strikes, self.answered = False, False, 0, 0, 0
 
 
 class Hop:
@@ -374,7 +373,7 @@
         if outcome in (Outcome.CANCELLED, Outcome.MOOT):
             return
         if outcome in (Outcome.COMMITTED, Outcome.ERROR, Outcome.FULL):
-            u.heard = self.last_heard = now
+            u.heard = u.answered = self.last_heard = now
         bad = outcome is not Outcome.COMMITTED  # quick failures too: an upstream failing fast draws load
         if not bad:
             usual = self.usual[tx.profile]
@@ -390,8 +389,9 @@
             entry.bad += bad
         # One slow or costly hop says nothing of the tier: time-outs count only while hops take long.
         self.tier.tried += 1
-        self.tier.bad += bad and (self.pressed or outcome is Outcome.FULL)
-        if outcome is Outcome.UNREACHABLE:
+        self.tier.bad += bad and (self.pressed or outcome.proves_unrun)
+        # One that takes no new connection but answers on open ones is full: set aside, those would close too.
+        if outcome is Outcome.UNREACHABLE and now - u.answered >= self.validity:
             self.set_aside(u, now)
 
     def set_aside(self, u: Upstream, now: int) -> None:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -260,6 +260,16 @@
         assert bool(made.stretch) == seen
 
 
+def test_a_failed_connect_sets_aside_only_what_has_not_answered_lately():
+    for answered, aside in ((T, False), (0, True)):
+        made, port = balancer()
+        tx = taken(made, 2)
+        u = tx.hops[0].upstream
+        u.answered = answered
+        tx.returned(T + MS, 0, Outcome.UNREACHABLE, MS, False)
+        assert u.aside == aside and made.tier.bad == 1 and len(port.of("send")) == 2
+
+
 def test_late_hops_count_for_the_tier_only_in_a_crowd():
     for pressed in (False, True):
         made, _ = balancer()
