--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -97,8 +97,7 @@
 
     def __init__(self, upstream: Upstream, now: int) -> None:
         self.upstream, self.sent, self.cell, self.zone = upstream, now, upstream.cell, upstream.zone
-        self.may_have_run = True
-        self.idle = 0 if upstream.held else now - upstream.ended
+        self.may_have_run, self.idle = True, 0 if upstream.held else now - upstream.ended
 
 
 class Transaction:
@@ -169,8 +168,8 @@
         self.number, self.reach, self.most = s.number, 1 << 30, 1  # upstreams in use, and ever ready at once
         self.rested, self.gap = Entry(), 0.0  # hops on idle connections; how long the silent ones idled
         self.tier, self.out = Entry(), 0  # hops in flight, but for those at upstreams set aside
-        self.mean_value, self.mean_hint, self.hints = 0.0, 0.0, [0.0] * len(s.profiles)
-        self.usual = [0.0] * len(s.profiles)  # a hop's running mean time, by profile
+        self.mean_value = self.mean_hint = 0.0  # and by profile, the mean hint and a hop's running mean time
+        self.hints, self.usual = [0.0] * len(s.profiles), [0.0] * len(s.profiles)
         self.took = self.stretch = self.low = 0.0  # the same over all, to the goal, and the least of that
         # The crowd let in, the mean that arrivals find, and the mean that was served well.
         self.ceiling, self.crowd, self.borne, self.others = 0.0, 0.0, 0.0, 1 - 1 / s.balancers
@@ -208,8 +207,7 @@
         self.using = [u for u in self.near if not u.aside][: self.reach if self.number >= 0 else None]
 
     def list_failed(self, now: int) -> None:
-        """Asked anew after a while, at random: a registry that failed under load is not stormed."""
-        if self.ask_again:
+        if self.ask_again:  # after a while, at random: a registry that failed under load is not stormed
             self.port.wake(now + round(self.ask_again * (1 + self.chance()) / 2), 1)
 
     def take(self, now, ref, profile, customer, deadline, hint=0, repeat=False) -> Transaction:
@@ -380,10 +378,12 @@
             u.pace = blend(u.pace, min(took / usual, SAVED), RECENT) if usual else u.pace
             self.usual[tx.profile] = blend(usual, took)
             self.took = blend(self.took, took)
-            if u.pace <= SLOW:  # one slow upstream is no crowd: throttling the tier would not mend it
-                self.stretch = blend(self.stretch, took / tx.kind.service_goal)
             self.served, u.strikes = self.served + 1, 0
-            bad = self.pressed and took > LATE * tx.kind.service_goal
+        # One slow or silent upstream is no crowd, and throttling the tier would not mend it.
+        ended = outcome in (Outcome.COMMITTED, Outcome.TIMED_OUT) and u.heard > now - took
+        if ended and (u.pace <= SLOW or self.pressed):
+            self.stretch = blend(self.stretch, took / tx.kind.service_goal)
+        bad = bad or self.pressed and took > LATE * tx.kind.service_goal
         for entry in (u.entries[tx.profile], u.entries[-1]):
             entry.tried += 1
             entry.bad += bad
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -101,9 +101,7 @@
         now = T + step * S // 4000
         taken(made, 0, now=now, ref=step).returned(now, 0, Outcome.COMMITTED, MS, True)
     sent = sum(note[2] == 3 for note in port.of("send"))
-    assert (
-        10 < sent <= 100 * 0.2 * 1.5 * 1.5
-    )  # its share of half the multiple, a little risen within the second
+    assert 10 < sent <= 100 * 0.2 * 1.5 * 1.5  # its share of half the multiple, a little risen
 
 
 def test_a_tier_all_cold_is_fed_by_what_clients_ask_first():
@@ -251,12 +249,17 @@
         assert taken(made, 0).over == over
 
 
-def test_hops_at_a_slow_upstream_are_no_sign_of_a_crowd():
-    for pace, seen in ((1.0, True), (4.0, False)):
+def test_slow_and_silent_upstreams_are_no_sign_of_a_crowd():
+    cases = (
+        (1.0, T, Outcome.COMMITTED, 1),
+        (4.0, T, Outcome.COMMITTED, 0),
+        (1.0, T + 1, Outcome.TIMED_OUT, 1),
+    )
+    for pace, heard, outcome, seen in (*cases, (1.0, T - S, Outcome.TIMED_OUT, 0)):
         made, _ = balancer()
-        tx = taken(made, 0)
-        tx.hops[0].upstream.pace = pace
-        tx.returned(T + S, 0, Outcome.COMMITTED, S, True)
+        tx = taken(made, 2)
+        tx.hops[0].upstream.pace, tx.hops[0].upstream.heard = pace, heard
+        tx.returned(T + S, 0, outcome, S, True)
         assert bool(made.stretch) == seen
 
 
