Clean-up: a held-back transaction is given up on directly, constants in order

A transaction above the crowd's bound was ended by setting its limit to now; it is given up on and returned again.

--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -24,17 +24,15 @@
 GROW, SHRINK = 5 / 4, 1 / 2  # the most that a crowd held back may change between two looks
 EQUAL = 3 / 5  # of the crowd: let in whatever the revenue; above it the more valuable go first
 SKIP = 5 / 4  # of the mean in flight: an upstream above it is skipped
-SLOW = (
-    3 / 2
-)  # of the usual time: by up to this, hops at a slow upstream tell less of the crowd; near ones suffice
+SLOW = 3 / 2  # of the usual time: the most by which a slow upstream's hops tell less of the crowd
 SILENT = 4  # of the tier's usual time, with hops out and nothing heard: the upstream is set aside
 PATIENCE = 4  # of a profile's usual time, or half its goal: a hop that may be repeated waits no longer
 UNWELL = 2 / 5  # a metric at which an upstream is set aside, where the tier holds less than half of that
 RETRIES, SAVED = 1 / 10, 10  # of first hops: what may be spent on hops after one that may have run, and kept
 ADVICE = 1 / 4  # of the service goal: when a client rolled back is told to come back
 MEMORY = 1 / 16  # weight of the newest sample in a running mean
-SET = 5  # upstreams in use at the least
 RECENT = 1 / 6  # the same for the pace of an upstream, which gets few hops
+SET = 5  # upstreams in use at the least
 FORGET = 1 / 1024  # by which the least hop time seen creeps up at each look
 
 
@@ -53,6 +51,7 @@
         self.tried = self.bad = 0
 
     def share(self, now: int) -> float:
+        """The metric while it is valid."""
         return self.metric if now < self.until else 0.0
 
     def close(self, now: int, floor: int, validity: int) -> None:
@@ -194,7 +193,7 @@
                 self.out += len(u.held) if u.aside else 0
                 u.begin(born, now, self.chance())
             u.state, u.weight, u.cell, u.zone = state, weight if weight > 0 else 1.0, cell, zone
-        for u in self.upstreams if full else ():  # what a full list leaves out is gone: a drain
+        for u in self.upstreams if full else ():  # left out of a full list is gone: none may be sent there
             u.state = u.state if u.index in named else State.GONE
         ready = (u for u in self.upstreams if u.state is State.READY)
         self.ready = sorted(ready, key=lambda u: u.rank, reverse=True)
@@ -230,7 +229,8 @@
             self.crowd = blend(self.crowd, self.out)
             if self.out >= limit + ((limit * self.others) ** 0.5 if self.crowd < limit else 0.0):
                 self.held_back = True
-                tx.end = now  # nothing more for it
+                self.give_up(tx)
+                return tx
         self.send(tx, now)
         return tx
 
