--- /dev/null
+++ b/dahliabend/__main__.py
@@ -0,0 +1,31 @@
+"""`python -m dahliabend`: one balancer on sockets, as the file at PROXY_CONFIG says."""
+
+import os
+import sys
+
+import uvloop
+
+from dahliabend.config import read_node
+from dahliabend.net.program.log import Log
+from dahliabend.net.program.serve import serve
+
+
+def main() -> int:
+    try:
+        node = read_node(os.environ)
+    except ValueError as error:  # msgspec's errors are a kind of it
+        print(f"dahliabend: {error}", file=sys.stderr)
+        return 2
+    log = Log(node.name, node.verbose)
+    try:
+        uvloop.run(serve(node, log))
+    except OSError as error:
+        log("failed", why=str(error))
+        return 1
+    finally:
+        log.end()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/dahliabend/config.py
@@ -0,0 +1,258 @@
+"""The one place where configuration is read, checked and given defaults, for sockets and for the simulator.
+
+A fault is a `ValueError` whose one line names the key.
+"""
+
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from dahliabend.model import Effect, Group, Profile, Settings
+
+
+class _Wire(msgspec.Struct, rename="kebab"):
+    """Unknown keys are skipped by msgspec; keys left out take these defaults."""
+
+
+class _Profile(_Wire):
+    service_goal: float
+    hard_limit: float
+    semantics: str
+    revenue: float = 1.0
+    tardy_revenue: float = 0.0
+    group: str = "all"
+    name: str = ""
+    stream: bool = False
+    dedup_window: float = 0.0
+
+
+class _Tenant(_Wire):
+    name: str = ""
+    allowance_per_s: float = 0.0
+
+
+class _Caps(_Wire):
+    most_hops: int
+    may_cancel: bool = False
+    probing: bool = False
+    retry_after: bool = False
+    max_retry_after: float = 0.0
+    conn_idle: float = 15_000.0
+    dial_timeout: float = 250.0
+    most_held: int = 20_000
+
+
+class _Report(_Wire):
+    fields: list[str] = []
+    source: str = "off"
+
+
+class _Contract(_Wire):
+    cold_share: float
+    cold: float
+    fall_multiple: float
+    ask_within: float = 0.0
+
+
+class _Goal(_Wire):
+    whole: float = 1.0
+    worst_class: float = 0.0
+
+
+class _Fees(_Wire):
+    cross_zone: float = 0.0
+
+
+class _Conf(_Wire):
+    balancers: int
+    profiles: list[_Profile]
+    caps: _Caps
+    contract: _Contract
+    discovery: str
+    tier: int = 0
+    locality: int = 0
+    self_index: int = -1
+    tenants: list[_Tenant] = []
+    excess_revenue: float = 1.0
+    goal: _Goal = msgspec.field(default_factory=_Goal)
+    fees: _Fees = msgspec.field(default_factory=_Fees)
+    localities: list[str] = []
+    report: _Report = msgspec.field(default_factory=_Report)
+
+
+class _Limits(msgspec.Struct):
+    sockets: int = 1024
+
+
+class _Node(msgspec.Struct):
+    """The file that a balancer on sockets finds at PROXY_CONFIG."""
+
+    settings: _Conf
+    listen: str = ""
+    discovery: str = ""
+    name: str = ""
+    seed: str = ""
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    known: dict = {}
+    log: str = "info"
+
+
+@dataclass(frozen=True, slots=True)
+class Node:
+    """What a balancer on sockets goes by."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    known: dict  # the list as this balancer last had it, in discovery's form
+    verbose: bool
+    settings: Settings
+    profiles: dict[bytes, int]
+    customers: dict[bytes, int]
+    zones: dict[str, int]
+    longest: tuple[int, ...]  # the hard limit, by profile
+    dial_time: int
+    rest: int  # for how long an idle connection is used again
+    probe_time: int
+    most_held: int
+    report_fields: tuple[str, ...]  # that probes bring
+    epoch: int  # added to Unix time in microseconds it gives monotonic time
+
+
+REST = 7 / 8  # of the settings' idle time, after which the other end may have closed
+
+
+_EFFECTS = {
+    "idempotent": Effect.IDEMPOTENT,
+    "deduplicated": Effect.JOURNALLED,
+    "at_most_once": Effect.NON_IDEMPOTENT,
+}
+_GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+
+
+def us(ms: float) -> int:
+    return round(ms * 1000)
+
+
+def read(text: bytes) -> Settings:
+    """Settings from the wire's JSON; ValueError (of which msgspec's errors are a kind) if unreadable."""
+    return _settings(msgspec.json.decode(text, type=_Conf))
+
+
+def read_node(environment: Mapping[str, str]) -> Node:
+    """The configuration of a balancer on sockets: the file, with the variables before it."""
+    path = environment.get("PROXY_CONFIG", "")
+    if not path:
+        raise ValueError("PROXY_CONFIG: not set; it names the configuration file")
+    try:
+        with open(path, "rb") as file:
+            raw = file.read()
+    except OSError as error:
+        raise ValueError(f"PROXY_CONFIG: {path}: {error.strerror}") from None
+    node = msgspec.json.decode(raw, type=_Node)
+    conf = node.settings
+    settings = _settings(conf, "settings.")
+    _within("limits.sockets", node.limits.sockets, 32, 1 << 20)
+    _within("settings.caps.conn-idle", conf.caps.conn_idle, 1, 1e9)
+    _within("settings.caps.dial-timeout", conf.caps.dial_timeout, 1, 1e9)
+    _within("settings.caps.most-held", conf.caps.most_held, 1, 1e9)
+    names = [p.name for p in conf.profiles]
+    for number, name in enumerate(names):
+        if not name or name in names[:number]:
+            raise ValueError(f"settings.profiles[{number}].name: {name!r} is empty or used before")
+        if conf.profiles[number].stream:
+            raise ValueError(
+                f"settings.profiles[{number}].stream: streamed answers are not served on sockets"
+            )
+    if node.log not in ("info", "debug"):
+        raise ValueError(f"log: {node.log!r} is neither info nor debug")
+    try:
+        seed = int(node.seed or "0", 16)
+    except ValueError:
+        raise ValueError(f"seed: {node.seed!r} is no hexadecimal number") from None
+    return Node(
+        name=environment.get("PROXY_NAME") or node.name or "dahliabend",
+        listen=_address("listen", environment.get("PROXY_LISTEN") or node.listen),
+        discovery=_address("discovery", environment.get("PROXY_DISCOVERY") or node.discovery),
+        seed=seed,
+        sockets=node.limits.sockets,
+        known=node.known,
+        verbose=node.log == "debug",
+        settings=settings,
+        profiles={name.encode(): index for index, name in enumerate(names)},
+        customers={t.name.encode(): index for index, t in enumerate(conf.tenants)},
+        zones={name: index for index, name in enumerate(conf.localities)},
+        longest=tuple(p.hard_limit for p in settings.profiles),
+        dial_time=us(conf.caps.dial_timeout),
+        rest=round(us(conf.caps.conn_idle) * REST),
+        probe_time=2 * us(conf.caps.dial_timeout),
+        most_held=conf.caps.most_held,
+        report_fields=tuple(conf.report.fields) if conf.report.source == "on_probe" else (),
+        epoch=time.monotonic_ns() // 1000 - time.time_ns() // 1000,
+    )
+
+
+def _address(key: str, text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{key}: {text!r} is not HOST:PORT")
+    return host, int(port)
+
+
+def _within(key: str, value: float, least: float, most: float) -> None:
+    if not least <= value <= most:
+        raise ValueError(f"{key}: {value} is not between {least:g} and {most:g}")
+
+
+def _settings(conf: _Conf, above: str = "") -> Settings:
+    caps, contract = conf.caps, conf.contract
+    if not conf.profiles:
+        raise ValueError(f"{above}profiles: there are none")
+    if not -1 <= conf.self_index < max(1, conf.balancers):
+        raise ValueError(f"{above}self-index: {conf.self_index} is not one of {conf.balancers} balancers")
+    _within(f"{above}caps.most-hops", caps.most_hops, 1, 1 << 16)
+    profiles = []
+    for number, p in enumerate(conf.profiles):
+        if p.semantics not in _EFFECTS:
+            raise ValueError(f"{above}profiles[{number}].semantics: {p.semantics!r} is unknown")
+        if p.group not in _GROUPS:
+            raise ValueError(f"{above}profiles[{number}].group: {p.group!r} is unknown")
+        _within(f"{above}profiles[{number}].service-goal", p.service_goal, 0.001, 1e9)
+        _within(f"{above}profiles[{number}].hard-limit", p.hard_limit, 0.001, 1e9)
+        profiles.append(
+            Profile(
+                effect=_EFFECTS[p.semantics],
+                group=_GROUPS[p.group],
+                repeat_window=us(p.dedup_window),
+                service_goal=us(p.service_goal),
+                hard_limit=us(p.hard_limit),
+                revenue=p.revenue,
+                late_share=p.tardy_revenue,
+            )
+        )
+    return Settings(
+        balancers=max(1, conf.balancers),
+        number=conf.self_index,
+        tier=conf.tier,
+        zone=conf.locality,
+        profiles=tuple(profiles),
+        allowances=tuple(t.allowance_per_s for t in conf.tenants),
+        excess_share=conf.excess_revenue,
+        whole_weight=conf.goal.whole,
+        class_weight=conf.goal.worst_class,
+        cross_zone_fee=conf.fees.cross_zone,
+        most_hops=caps.most_hops,
+        may_cancel=caps.may_cancel,
+        may_probe=caps.probing,
+        advises=caps.retry_after,
+        longest_advice=us(caps.max_retry_after),
+        ask_for_list=conf.discovery == "on_request",
+        ask_within=us(contract.ask_within),
+        cold_share=contract.cold_share,
+        cold_time=us(contract.cold),
+        cold_multiple=contract.fall_multiple,
+    )
--- /dev/null
+++ b/dahliabend/net/program/__init__.py
@@ -0,0 +1,1 @@
+"""Wiring, readiness, signals, log."""
--- /dev/null
+++ b/dahliabend/net/program/serve.py
@@ -0,0 +1,116 @@
+"""One balancer, from its configuration to its end."""
+
+import asyncio
+import gc
+import signal
+
+from dahliabend.config import Node
+from dahliabend.net.program.log import Log
+from dahliabend.net.protocol.callers import Caller
+from dahliabend.net.protocol.discovery import Book, Discovery
+from dahliabend.net.routing.router import Router
+from dahliabend.net.routing.upstreams import Yard
+from dahliabend.net.transport.deadlines import Deadlines, clock
+from dahliabend.net.transport.descriptors import Descriptors
+from dahliabend.net.transport.listener import Listener
+
+ACCEPTING = 500_000  # new connections come for 0.4 s after SIGTERM at the most
+LONGEST_STOP, MARGIN = (
+    3_000_000,
+    700_000,
+)  # SIGKILL comes no sooner than the longest limit, 3 s at most, and this
+IN_HAND = 300_000  # how long before that the last answers go out
+CALLER_REST = 60_000_000  # a caller's connection idle for longer is closed
+BEAT = 5_000_000  # how often the log gets a line of figures
+
+
+class Program:
+    def __init__(self, node: Node, log: Log) -> None:
+        loop = asyncio.get_running_loop()
+        self.node, self.log = node, log
+        self.done = loop.create_future()
+        self.deadlines = Deadlines(loop)
+        self.descriptors = Descriptors(node.sockets)
+        yard = Yard(self.deadlines, self.descriptors, node.dial_time, node.rest, log.debug)
+        self.router = Router(node, self.deadlines, yard, log)
+        book = Book(self.router, log)
+        self.discovery = self.router.discovery = Discovery(
+            node.discovery, book, self.deadlines, self.descriptors, node.dial_time,
+            self.router.balancer.chance, log,
+        )  # fmt: skip
+        self.listener = Listener()
+        self.patience = max(node.longest)
+        if node.known:
+            book.read(node.known, first=True)
+        yard.sweep()
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        await self.listener.open(self.node.listen, self.accept)
+        self.discovery.open()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop)
+        self.log("listening", address="%s:%d" % self.node.listen, tier=self.node.settings.tier)
+        # What the start made stays: no pause is spent on walking it again.
+        gc.collect()
+        gc.freeze()
+        self.beat()
+        await self.done
+        self.log("ended", counts=self.router.counts)
+
+    def accept(self) -> Caller:
+        self.descriptors.full()  # makes room, where an idle connection can go
+        return Caller(self.descriptors, self.deadlines, self.router, self.patience)
+
+    def beat(self) -> None:
+        """The figures that on-call looks for first, and callers long idle."""
+        balancer = self.router.balancer
+        self.log(
+            "figures", counts=self.router.counts, held=len(self.router.tickets),
+            connections=len(self.descriptors.connections), out=balancer.out, crowd=round(balancer.ceiling, 1),
+            tier=round(balancer.tier.metric, 2), ready=len(balancer.ready), using=len(balancer.using),
+            aside=[self.router.yard.upstreams[u.index].name for u in balancer.ready if u.aside],
+        )  # fmt: skip
+        for caller in self.callers(self.descriptors.rested(clock() - CALLER_REST)):
+            caller.let_go()
+        self.deadlines.at(clock() + BEAT, self.beat)
+
+    def callers(self, connections) -> list[Caller]:
+        return [connection for connection in connections if isinstance(connection, Caller)]
+
+    # The end.
+
+    def stop(self) -> None:
+        if self.router.stop_at:
+            return
+        now = clock()
+        self.log("stopping", held=len(self.router.tickets))
+        self.router.stop_by(now + min(self.patience, LONGEST_STOP) + MARGIN - IN_HAND)
+        # Callers go elsewhere as soon as their connections close; those with a request are answered first.
+        for caller in self.callers(self.descriptors.connections):
+            caller.let_go()
+        self.deadlines.at(now + ACCEPTING, self.stop_accepting)
+
+    def stop_accepting(self) -> None:
+        self.listener.close()
+        self.discovery.stop()
+        self.wait_for_callers(clock())
+
+    def wait_for_callers(self, since: int) -> None:
+        callers = self.callers(self.descriptors.connections)
+        for caller in callers:
+            caller.let_go()
+        if not callers or clock() >= self.router.stop_at + IN_HAND // 2:
+            if not self.done.done():
+                self.done.set_result(None)
+        else:
+            self.deadlines.at(clock() + IN_HAND // 30, self.wait_for_callers, since)
+
+
+async def serve(node: Node, log: Log) -> None:
+    loop = asyncio.get_running_loop()
+    log.attach(loop)
+    loop.set_exception_handler(
+        lambda _, context: log("error", what=context.get("message"), why=repr(context.get("exception")))
+    )
+    await Program(node, log).run()
--- /dev/null
+++ b/dahliabend/net/protocol/callers.py
@@ -0,0 +1,215 @@
+"""HTTP to callers: their requests in, one answer each out."""
+
+from collections import deque
+from typing import Protocol
+
+import httptools
+
+from dahliabend.net.protocol import headers as wire
+from dahliabend.net.transport.connection import Connection
+from dahliabend.net.transport.deadlines import Deadlines, clock
+from dahliabend.net.transport.descriptors import Descriptors
+
+LONGEST_ID = 128
+
+
+class Desk(Protocol):
+    """Where transactions are taken. The number returned names one until it is answered; -1: answered."""
+
+    profiles: dict[bytes, int]
+
+    def take(
+        self, caller, profile: int, method: bytes, target: bytes, passed: bytes, body: bytes, *,
+        expires: int, began: int, customer: bytes, hint: bytes, again: bool, trace: bytes,
+    ) -> int: ...  # fmt: skip
+    def left(self, number: int) -> None: ...
+    def ready(self) -> bool: ...
+    def closing(self) -> bool: ...
+
+
+class Caller(Connection):
+    """One caller's connection. Requests are answered one by one, in the order in which they came."""
+
+    def __init__(self, descriptors: Descriptors, deadlines: Deadlines, desk: Desk, patience: int) -> None:
+        super().__init__(descriptors)
+        self.deadlines, self.desk, self.patience = deadlines, desk, patience
+        self.parser = httptools.HttpRequestParser(self)
+        self.queue: deque[tuple] = deque()  # requests that have come whole
+        self.ticket = -1  # of the transaction that is being served
+        self.serving = self.keep = self.last = self.served = False
+        self.fault = 0  # the status that ends this connection, once all before it is answered
+        self.stalled: list | None = None  # the deadline of a request half come, or of an answer half gone
+        self.began = 0  # when the first byte of the request now coming came
+        self.fresh()
+
+    def fresh(self) -> None:
+        self.target, self.headers, self.body, self.size, self.named = b"", [], [], 0, b""
+        self.fields: dict[bytes, bytes] = {}
+
+    def connection_made(self, transport) -> None:
+        super().connection_made(transport)
+        if self.number < 0:  # not even the reserve has room: it would take sockets from the others
+            self.shut()
+        else:
+            self.descriptors.rest(self.number, clock())
+
+    # What the parser tells.
+
+    def on_message_begin(self) -> None:
+        self.began = clock()
+        self.fresh()
+
+    def on_url(self, part: bytes) -> None:
+        self.target += part
+        self.grow(len(part))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.grow(len(name) + len(value) + 4)
+        if self.fault:
+            return
+        self.headers.append((name, value))
+        low = name.lower()
+        if low == b"connection":
+            self.named += b"," + value
+        elif low == b"expect" and value.lower() == b"100-continue" and not self.serving:
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if low in (wire.TRACE, wire.EXPIRES) and low in self.fields:
+            self.fault = 400  # which of the two is meant?
+        self.fields[low] = value
+
+    def grow(self, count: int) -> None:
+        self.size += count
+        if self.size > wire.MOST_HEAD and not self.fault:
+            self.fault = 431
+
+    def on_headers_complete(self) -> None:
+        self.size = 0
+        if int(self.fields.get(b"content-length") or 0) > wire.MOST_BODY and not self.fault:
+            self.fault = 413
+
+    def on_body(self, part: bytes) -> None:
+        self.size += len(part)
+        if self.size > wire.MOST_BODY:
+            self.fault = self.fault or 413
+        else:
+            self.body.append(part)
+
+    def on_message_complete(self) -> None:
+        if self.fault:
+            return
+        keep = self.parser.should_keep_alive() and not wire.closes(self.named)
+        passed = wire.passed_on(self.headers, self.named)
+        self.queue.append(
+            (
+                self.began,
+                self.parser.get_method(),
+                self.target,
+                self.fields,
+                passed,
+                b"".join(self.body),
+                keep,
+            )
+        )
+        self.began = 0
+
+    # Bytes and their ends.
+
+    def received(self, view: memoryview) -> None:
+        try:
+            self.parser.feed_data(view)
+        except httptools.HttpParserUpgrade:
+            self.fault = self.fault or 400
+        except httptools.HttpParserError:
+            self.fault = self.fault or 400
+        self.serve()
+
+    def serve(self) -> None:
+        """Takes the next request that has come, if none is being served."""
+        while self.queue and not self.serving and not self.closed and not self.last:
+            self.deadlines.drop(self.stalled)
+            self.descriptors.busy(self.number)
+            self.serving = True
+            self.start(*self.queue.popleft())
+        # Whoever sends on without waiting for answers waits itself: else its requests pile up here.
+        self.holding = bool(self.queue or self.fault)
+        if self.fault and not self.serving and not self.closed and not self.last:
+            self.serving, self.keep = True, False
+            self.refuse(self.fault)
+        elif self.began and not self.serving and (self.stalled is None or self.stalled[2] is None):
+            # Half a request: a trickle would hold its descriptor for ever.
+            self.descriptors.busy(self.number)
+            self.stalled = self.deadlines.at(self.began + self.patience, self.too_slow)
+
+    def start(self, began, method, target, fields, passed, body, keep) -> None:
+        self.keep = keep
+        if method not in (b"GET", b"POST"):
+            return self.refuse(405)
+        path = target.partition(b"?")[0]
+        if path == wire.READY:
+            ready = self.desk.ready()
+            return self.answer(200 if ready else 503, b"", b"ready\n" if ready else b"not ready\n")
+        profile = self.desk.profiles.get(path[1:].partition(b"/")[0]) if path[:1] == b"/" else None
+        if profile is None:
+            return self.refuse(404)
+        trace, expires = fields.get(wire.TRACE, b""), fields.get(wire.EXPIRES, b"")
+        if not 0 < len(trace) <= LONGEST_ID or not expires.isdigit() or len(expires) > 12 or not int(expires):
+            return self.refuse(400)
+        ticket = self.desk.take(
+            self, profile, method, target, passed, body,
+            expires=int(expires) * 1000, began=began, customer=fields.get(wire.CUSTOMER, b""),
+            hint=fields.get(wire.HINT, b""), again=fields.get(wire.SECOND_TRY) == b"1", trace=trace,
+        )  # fmt: skip
+        if self.serving:
+            self.ticket = ticket
+
+    def refuse(self, status: int) -> None:
+        self.answer(status, b"", wire.REASONS[status] + b"\n")
+
+    def answer(self, status: int, headers: bytes, body: bytes) -> None:
+        """The one answer to the request being served."""
+        self.ticket = -1
+        if self.closed:
+            return
+        self.keep = self.keep and not self.desk.closing()
+        ending = b"" if self.keep else b"Connection: close\r\n"
+        head = b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n" % (
+            status, wire.REASONS.get(status, b"Other"), len(body),
+        )  # fmt: skip
+        self.served, self.last = True, not self.keep
+        # A caller that reads nothing would hold its descriptor, and the answer's bytes, for ever.
+        self.stalled = self.deadlines.at(clock() + self.patience, self.shut)
+        self.write(head + headers + ending + b"\r\n" + body)
+
+    def flushed(self) -> None:
+        if not self.served:
+            return
+        self.served = self.serving = False
+        self.deadlines.drop(self.stalled)
+        self.stalled = None
+        if self.last:
+            return self.finish()
+        self.descriptors.rest(self.number, clock())
+        if self.queue or self.incoming.count or self.began or self.fault:
+            # On the loop's next turn: a long queue answered at once would nest a call for each.
+            self.deadlines.loop.call_soon(self.go_on)
+
+    def go_on(self) -> None:
+        if not self.closed:
+            self.serve()
+            self.drain()
+
+    def too_slow(self) -> None:
+        if not self.serving:
+            self.fault = self.fault or 408
+            self.serve()
+
+    def let_go(self) -> None:
+        """The program ends: a connection between requests closes, one with a request after its answer."""
+        if not (self.serving or self.began or self.queue):
+            self.finish()
+
+    def lost(self) -> None:
+        self.deadlines.drop(self.stalled)
+        ticket, self.ticket = self.ticket, -1
+        if ticket >= 0:
+            self.desk.left(ticket)
--- /dev/null
+++ b/dahliabend/net/protocol/discovery.py
@@ -0,0 +1,190 @@
+"""The list of upstreams: a watch on its changes, opened again when it ends or falls silent."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+import httptools
+import orjson
+
+from dahliabend.model import State
+from dahliabend.net.transport.connection import Connection, dial
+from dahliabend.net.transport.deadlines import Deadlines, clock
+from dahliabend.net.transport.descriptors import Descriptors
+
+BEAT = 2_000_000  # an empty line comes that often while nothing changes
+SILENT = BEAT * 9 // 4  # nothing for longer: the watch is dead, and changes are missed
+SOON = BEAT // 4  # an answer that has not come by then is not waited for at the start
+FIRST, LONGEST = BEAT // 20, BEAT // 2  # what is waited before a watch is opened again
+MOST_LINE = 8 * 1024 * 1024
+
+_STATES = {"up": State.READY, "draining": State.DRAINING, "removed": State.GONE}
+
+
+class Reader(Protocol):
+    def listed(self, rows: list[tuple], full: bool) -> None: ...
+    def list_failed(self) -> None: ...
+
+
+def entry(raw: dict) -> tuple:
+    """An upstream's id, address, state, start (Unix ms), weight, cell and zone.
+
+    >>> entry({"id": "s-1", "addr": "10.0.0.1:80", "state": "up", "zone": "a"})
+    ('s-1', ('10.0.0.1', 80), <State.READY: 1>, 0, 1.0, 0, 'a')
+    """
+    host, _, port = str(raw["addr"]).rpartition(":") if "addr" in raw else ("", "", "0")
+    state = _STATES[raw["state"]]
+    name = raw["id"]
+    if (
+        not isinstance(name, str)
+        or not name
+        or (state is not State.GONE and not (host and 0 < int(port) < 65536))
+    ):
+        raise ValueError("no id or no address")
+    started, cell = int(raw.get("started_ms") or 0), int(raw.get("cell") or 0)
+    return (
+        name,
+        (host, int(port)),
+        state,
+        started,
+        float(raw.get("weight") or 1.0),
+        cell,
+        str(raw.get("zone", "")),
+    )
+
+
+class Book:
+    """The versions of the list, and who is told of them."""
+
+    def __init__(self, reader: Reader, log: Callable) -> None:
+        self.reader, self.log = reader, log
+        self.version = -1
+
+    def read(self, message: dict, first: bool) -> None:
+        """Applies one message. After a gap the whole list comes, also one whose count began anew."""
+        version, full = int(message["version"]), bool(message.get("full"))
+        if version <= self.version and not (full and first):
+            return  # told before
+        rows = []
+        for raw in message.get("servers") or ():
+            try:
+                rows.append(entry(raw))
+            except (KeyError, TypeError, ValueError, AttributeError) as error:
+                self.log("list.bad_entry", why=str(error), entry=str(raw)[:200])
+        self.version = version
+        self.log("list", version=version, full=full, entries=len(rows))
+        self.reader.listed(rows, full)
+
+
+class Watch(Connection):
+    """One watch, from its request until it ends."""
+
+    def __init__(self, descriptors: Descriptors, book: Book, heard: Callable, ended: Callable) -> None:
+        super().__init__(descriptors)
+        self.book, self.heard, self.ended = book, heard, ended
+        self.parser = httptools.HttpResponseParser(self)
+        self.line = bytearray()
+        self.first = True
+
+    def ask(self, host: str) -> None:
+        after = b"&after=%d" % self.book.version if self.book.version >= 0 else b""
+        self.write(b"GET /api/targets?watch=1%b HTTP/1.1\r\nHost: %b\r\n\r\n" % (after, host.encode()))
+
+    def on_headers_complete(self) -> None:
+        if self.parser.get_status_code() != 200:
+            raise ValueError("watch refused")
+
+    def on_body(self, part: bytes) -> None:
+        self.line += part
+        while (end := self.line.find(b"\n")) >= 0:
+            text = bytes(self.line[:end]).strip()
+            del self.line[: end + 1]
+            if text:
+                self.book.read(orjson.loads(text), self.first)
+                self.first = False
+        if len(self.line) > MOST_LINE:
+            raise ValueError("too long a line")
+
+    def on_message_complete(self) -> None:
+        raise ValueError("watch ended")
+
+    def received(self, view: memoryview) -> None:
+        try:
+            self.parser.feed_data(view)
+            self.heard()
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.shut()
+
+    def lost(self) -> None:
+        self.ended(self)
+
+
+class Discovery:
+    """Keeps a watch open."""
+
+    def __init__(
+        self, address: tuple[str, int], book: Book, deadlines: Deadlines, descriptors: Descriptors,
+        dial_time: int, chance: Callable[[], float], log: Callable,
+    ) -> None:  # fmt: skip
+        self.address, self.book, self.deadlines, self.descriptors = address, book, deadlines, descriptors
+        self.dial_time, self.chance, self.log = dial_time, chance, log
+        self.watch: Watch | None = None
+        self.dialing: asyncio.Task | None = None
+        self.silence = self.again = None
+        self.wait = FIRST
+        self.tried = self.stopped = False  # `tried`: an answer has come, or none could be had
+
+    def open(self) -> None:
+        """Opens a watch unless one is open or being opened."""
+        self.deadlines.drop(self.again)
+        if self.watch is None and not self.stopped:
+            self.watch = Watch(self.descriptors, self.book, self.heard, self.ended)
+            self.silence = self.deadlines.at(clock() + self.dial_time, self.silent)
+            self.dialing = self.deadlines.loop.create_task(self.connect(self.watch))
+            if not self.tried:
+                self.deadlines.at(clock() + SOON, self.waited)
+
+    def waited(self) -> None:
+        self.tried = True
+
+    async def connect(self, watch: Watch) -> None:
+        try:
+            await dial(self.deadlines.loop, self.address, watch)
+        except (OSError, asyncio.CancelledError):
+            return self.ended(watch)
+        self.deadlines.drop(self.silence)
+        self.silence = self.deadlines.at(clock() + SILENT, self.silent)
+        watch.ask("%s:%d" % self.address)
+
+    def heard(self) -> None:
+        self.tried, self.wait = True, FIRST
+        self.deadlines.drop(self.silence)
+        self.silence = self.deadlines.at(clock() + SILENT, self.silent)
+
+    def silent(self) -> None:
+        self.log("watch.silent", version=self.book.version)
+        if self.watch is not None and self.watch.transport is not None:
+            self.watch.shut()
+        elif self.dialing is not None:
+            self.dialing.cancel()
+
+    def ended(self, watch: Watch) -> None:
+        if watch is not self.watch:
+            return
+        self.watch, self.tried = None, True
+        self.deadlines.drop(self.silence)
+        if self.stopped:
+            return
+        self.log("watch.ended", version=self.book.version, again_in_ms=self.wait // 1000)
+        # Backed off at random: a list service that failed under load is not stormed by all at once.
+        wait = round(self.wait * (1 + self.chance()) / 2)
+        self.wait = min(LONGEST, self.wait * 2)
+        self.again = self.deadlines.at(clock() + wait, self.open)
+        self.book.reader.list_failed()
+
+    def stop(self) -> None:
+        self.stopped = True
+        self.deadlines.drop(self.again)
+        self.deadlines.drop(self.silence)
+        if self.watch is not None:
+            self.silent()
--- /dev/null
+++ b/dahliabend/net/protocol/headers.py
@@ -0,0 +1,40 @@
+"""Names on the wire and the headers that a balancer passes on."""
+
+TRACE, EXPIRES, SECOND_TRY = b"x-trace-id", b"x-expires-in-ms", b"x-second-try"
+CUSTOMER, HINT = b"x-customer", b"x-size-hint"
+NEVER_RAN, LOAD = b"x-never-ran", b"endpoint-load-metrics"
+READY, HEALTHY, LOAD_PATH = b"/-/ready", b"/-/healthy", b"/-/load"
+
+MOST_BODY = 64 * 1024
+MOST_HEAD = 16 * 1024
+
+# They belong to one connection, or are written anew for each.
+_OWN = frozenset(
+    b"connection keep-alive proxy-connection proxy-authenticate proxy-authorization te trailer upgrade "
+    b"transfer-encoding content-length expect x-expires-in-ms x-never-ran endpoint-load-metrics".split()
+)
+
+REASONS = {
+    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
+    413: b"Content Too Large", 431: b"Request Header Fields Too Large", 502: b"Bad Gateway",
+    503: b"Service Unavailable",
+}  # fmt: skip
+
+
+def passed_on(headers: list[tuple[bytes, bytes]], named: bytes = b"") -> bytes:
+    """The end-to-end ones, as lines; `named` is the Connection header, which may name further ones.
+
+    >>> passed_on([(b"Host", b"a"), (b"TE", b"x"), (b"X-Hop", b"1")], b"close, X-Hop")
+    b'Host: a\\r\\n'
+    """
+    dropped = {name.strip().lower() for name in named.split(b",")} if named else ()
+    lines = []
+    for name, value in headers:
+        low = name.lower()
+        if low not in _OWN and low not in dropped:
+            lines.append(b"%b: %b\r\n" % (name, value))
+    return b"".join(lines)
+
+
+def closes(named: bytes) -> bool:
+    return b"close" in named.lower()
--- /dev/null
+++ b/dahliabend/net/routing/probes.py
@@ -0,0 +1,27 @@
+"""Probes of upstreams."""
+
+from collections.abc import Callable
+
+from dahliabend.model import Outcome
+from dahliabend.net.protocol import loads
+from dahliabend.net.protocol.headers import HEALTHY, LOAD_PATH
+from dahliabend.net.routing.upstreams import Errand, Upstream
+
+
+class Probe(Errand):
+    """Either path is a probe; the one with a load report tells the log more."""
+
+    def __init__(self, upstream: Upstream, fields: tuple[str, ...], timeout: int, told: Callable) -> None:
+        path = LOAD_PATH if fields else HEALTHY
+        message = b"GET %b HTTP/1.1\r\nHost: %b:%d\r\n\r\n" % (
+            path, upstream.address[0].encode(), upstream.address[1],
+        )  # fmt: skip
+        super().__init__(upstream, message, timeout)
+        self.fields, self.told = fields, told
+
+    def ended(self, outcome: Outcome, took: int, answer: tuple | None) -> None:
+        load = loads.read(answer[1] or answer[2], self.fields) if answer else {}
+        self.upstream.yard.log(
+            "probe", upstream=self.upstream.name, outcome=outcome.name, ms=took // 1000, load=load
+        )
+        self.told(self.upstream.index, outcome)
--- /dev/null
+++ b/dahliabend/net/routing/router.py
@@ -0,0 +1,210 @@
+"""The port of the decisions on sockets: transactions, their hops, the list, probes and wakings."""
+
+from collections.abc import Callable
+
+from dahliabend.config import Node
+from dahliabend.decide import Balancer, Transaction
+from dahliabend.model import Outcome, State
+from dahliabend.net.protocol.callers import Caller
+from dahliabend.net.protocol.discovery import Discovery
+from dahliabend.net.routing.probes import Probe
+from dahliabend.net.routing.upstreams import Errand, Yard
+from dahliabend.net.transport.deadlines import Deadlines, clock
+from dahliabend.net.transport.slots import Slots
+
+
+class Ticket:
+    """A transaction taken: its caller, its handle and its hops."""
+
+    __slots__ = (
+        "again", "answered", "body", "caller", "handle", "head", "hops", "number", "passed", "profile", "taken",
+        "trace", "trail",
+    )  # fmt: skip
+
+    def __init__(self, caller: Caller, profile: int, head: bytes, passed: bytes, body: bytes, trace: bytes):
+        self.caller, self.profile, self.head, self.passed, self.body = caller, profile, head, passed, body
+        self.trace, self.taken, self.answered, self.number = trace, clock(), False, -1
+        self.handle: Transaction | None = None
+        self.hops: list[Hop] = []
+        self.trail: list[tuple] = []  # of its hops: upstream, outcome, milliseconds
+
+
+class Hop(Errand):
+    """One sending of a transaction."""
+
+    def __init__(self, router: "Router", ticket: Ticket, upstream, timeout: int) -> None:
+        message = b"%bX-Expires-In-Ms: %d\r\n%bContent-Length: %d\r\n\r\n%b" % (
+            ticket.head, max(1, timeout // 1000), ticket.passed, len(ticket.body), ticket.body,
+        )  # fmt: skip
+        super().__init__(upstream, message, timeout)
+        self.router, self.ticket, self.order = router, ticket, len(ticket.hops)
+
+    def ended(self, outcome: Outcome, took: int, answer: tuple | None) -> None:
+        self.router.hop_ended(self, outcome, took, answer)
+
+
+class Router:
+    def __init__(self, node: Node, deadlines: Deadlines, yard: Yard, log: Callable) -> None:
+        self.deadlines, self.yard, self.log = deadlines, yard, log
+        self.discovery: Discovery | None = None
+        self.profiles, self.customers, self.zones = node.profiles, node.customers, node.zones
+        self.longest = node.longest
+        self.probe_time, self.report_fields = node.probe_time, node.report_fields
+        self.epoch = node.epoch
+        self.tickets: Slots[Ticket] = Slots(node.most_held)
+        self.stop_at = 0  # when all that is still held is given up; 0: not stopping
+        self.counts: dict[str, int] = {}
+        self.balancer = Balancer(node.settings, self, node.seed)
+
+    # What callers and the list bring.
+
+    def take(
+        self, caller, profile, method, target, passed, body, *, expires, began, customer, hint, again, trace
+    ) -> int:
+        head = b"%b %b HTTP/1.1\r\n" % (method, target)
+        ticket = Ticket(caller, profile, head, passed, body, trace)
+        ticket.number = number = self.tickets.put(ticket)
+        deadline = began + min(expires, self.longest[profile])
+        if self.stop_at:
+            deadline = min(deadline, self.stop_at)
+        if number < 0:
+            # The table is full: the caller is told at once, nothing has run.
+            self.log("no_room", tickets=len(self.tickets))
+            caller.answer(503, b"", b"too many transactions\n")
+            return -1
+        now = clock()
+        ticket.handle = self.balancer.take(
+            now, number, profile, self.customers.get(customer, len(self.customers)), deadline,
+            _hint(hint), again,
+        )  # fmt: skip
+        self.drop_if_over(ticket)
+        return -1 if ticket.answered else number
+
+    def left(self, number: int) -> None:
+        """The caller has gone away."""
+        ticket = self.tickets.get(number)
+        if ticket is not None and not ticket.answered:
+            ticket.answered = True
+            self.note("left", ticket)
+            ticket.handle.left(clock())
+            self.drop_if_over(ticket)
+
+    def ready(self) -> bool:
+        """Able to serve: the list has been asked for, and names somebody to send to."""
+        asked = self.discovery is not None and self.discovery.tried
+        return asked and bool(self.balancer.ready) and not self.stop_at
+
+    def closing(self) -> bool:
+        return self.stop_at > 0
+
+    def listed(self, rows: list[tuple], full: bool) -> None:
+        told = []
+        for name, address, state, started, weight, cell, zone in rows:
+            if state is State.GONE and name not in self.yard.indices:
+                continue
+            upstream = self.yard.find(name)
+            if state is State.READY:
+                upstream.moved(address)
+            else:
+                upstream.close_idle()
+            born = (started * 1000 + self.epoch or 1) if started else 0
+            told.append((upstream.index, state, born, weight, cell, self.zones.get(zone, -1), name.encode()))
+        self.balancer.listed(clock(), told, full)
+
+    def list_failed(self) -> None:
+        self.balancer.list_failed(clock())
+
+    # The port.
+
+    def send(self, ref: int, upstream: int, timeout: int) -> None:
+        ticket = self.tickets.get(ref)
+        hop = Hop(self, ticket, self.yard.upstreams[upstream], timeout)
+        ticket.hops.append(hop)
+        if self.stop_at and clock() >= self.stop_at:
+            hop.end_soon(Outcome.MOOT)  # the program ends before this could
+        else:
+            hop.start()
+
+    def roll_back(self, ref: int, come_back_in: int) -> None:
+        advice = b"Retry-After: %.3f\r\n" % (come_back_in / 1e6) if come_back_in else b""
+        self.answer(ref, "rolled_back", 503, advice, b"rolled back\n")
+
+    def abandon(self, ref: int) -> None:
+        self.answer(ref, "abandoned", 502, b"", b"abandoned\n")
+
+    def cancel(self, ref: int, hop: int) -> None:
+        ticket = self.tickets.get(ref)
+        if ticket is not None:
+            ticket.hops[hop].give_up(Outcome.CANCELLED)
+
+    def probe(self, upstream: int) -> None:
+        Probe(self.yard.upstreams[upstream], self.report_fields, self.probe_time, self.probed).start()
+
+    def close_idle(self, upstream: int) -> None:
+        self.yard.upstreams[upstream].close_idle()
+
+    def wake(self, at: int, token: int) -> None:
+        self.deadlines.at(at, self.woken, token)
+
+    def ask_list(self) -> None:
+        if self.discovery is not None:
+            self.discovery.open()
+
+    def tell(self, peer: int, text: bytes) -> None:
+        """Balancers have no way to each other here."""
+
+    # What comes of it.
+
+    def hop_ended(self, hop: Hop, outcome: Outcome, took: int, answer: tuple | None) -> None:
+        ticket = hop.ticket
+        ticket.trail.append((hop.upstream.name, outcome.name, took // 1000))
+        if outcome is Outcome.COMMITTED:
+            self.answer(ticket.number, "committed", 200, *answer[:2])
+        ticket.handle.returned(clock(), hop.order, outcome, took, ticket.answered)
+        self.drop_if_over(ticket)
+
+    def answer(self, ref: int, how: str, status: int, headers: bytes, body: bytes) -> None:
+        """The one answer; what comes later finds it answered and is dropped."""
+        ticket = self.tickets.get(ref)
+        if ticket is None or ticket.answered:
+            return
+        ticket.answered = True
+        self.note(how, ticket)
+        ticket.caller.answer(status, headers, body)
+
+    def note(self, how: str, ticket: Ticket) -> None:
+        self.counts[how] = self.counts.get(how, 0) + 1
+        if how != "committed":
+            self.log(
+                how, tx=ticket.trace.decode("latin-1"), profile=ticket.profile, hops=ticket.trail,
+                out=len(ticket.hops) - len(ticket.trail), ms=(clock() - ticket.taken) // 1000,
+            )  # fmt: skip
+
+    def drop_if_over(self, ticket: Ticket) -> None:
+        if ticket.handle.over:
+            self.tickets.drop(ticket.number)
+
+    def probed(self, upstream: int, outcome: Outcome) -> None:
+        self.balancer.probed(clock(), upstream, outcome)
+
+    def woken(self, token: int) -> None:
+        self.balancer.woken(clock(), token)
+
+    def stop_by(self, when: int) -> None:
+        """From now on transactions are given until then at the most."""
+        self.stop_at = when
+        self.deadlines.at(when, self.give_up_all)
+
+    def give_up_all(self) -> None:
+        """The program is killed soon: what is out by now counts as timed out, lest it end without an answer."""
+        for ticket in self.tickets:
+            for hop in ticket.hops:
+                hop.give_up(Outcome.TIMED_OUT)
+
+
+def _hint(text: bytes) -> int:
+    try:
+        hint = float(text) if text else 0.0
+    except ValueError:
+        return 0
+    return round(hint * 1000) if 0 < hint < 1e9 else 0
--- /dev/null
+++ b/dahliabend/net/routing/upstreams.py
@@ -0,0 +1,165 @@
+"""One record an upstream: its address, its connections, and how it is asked."""
+
+import asyncio
+from collections.abc import Callable
+
+from dahliabend.model import Outcome
+from dahliabend.net.protocol.upstreams import Link
+from dahliabend.net.transport.connection import dial
+from dahliabend.net.transport.deadlines import Deadlines, clock
+from dahliabend.net.transport.descriptors import Descriptors
+
+
+class Errand:
+    """Something asked of an upstream, with a deadline of its own. `ended` is called once, never from `start`."""
+
+    def __init__(self, upstream: "Upstream", message: bytes, timeout: int) -> None:
+        self.upstream, self.message, self.sent = upstream, message, clock()
+        self.link: Link | None = None
+        self.dialing: asyncio.Task | None = None
+        self.over = False
+        self.until = self.sent + timeout
+        self.deadline: list | None = None
+
+    def ended(self, outcome: Outcome, took: int, answer: tuple | None) -> None:
+        raise NotImplementedError
+
+    def start(self) -> None:
+        yard = self.upstream.yard
+        self.deadline = yard.deadlines.at(self.until, self.timed_out)
+        self.link = self.upstream.rested(self.sent)
+        if self.link is not None:
+            self.link.ask(self, self.message)
+        elif yard.descriptors.full():
+            self.end_soon(Outcome.MOOT)  # no socket left: the upstream is not to blame
+        else:
+            self.dialing = yard.deadlines.loop.create_task(self.connect(yard))
+
+    async def connect(self, yard: "Yard") -> None:
+        link = Link(yard.descriptors, self.upstream)
+        limit = yard.deadlines.at(min(self.until, self.sent + yard.dial_time), self.dialing.cancel)
+        try:
+            await dial(yard.deadlines.loop, self.upstream.address, link)
+        except (OSError, asyncio.CancelledError):
+            # Out of its own time before the connection was: nothing to hold against the upstream.
+            late = clock() >= self.until < self.sent + yard.dial_time
+            return self.end(Outcome.MOOT if late else Outcome.UNREACHABLE)
+        finally:
+            yard.deadlines.drop(limit)
+            self.dialing = None
+        self.upstream.links.add(link)
+        if self.over:  # called off meanwhile: the connection is as good as new
+            return self.upstream.free(link)
+        self.link = link
+        link.ask(self, self.message)
+
+    # What comes back.
+
+    def answered(self, status: int, never_ran: bool, load: bytes, passed: bytes, body: bytes) -> None:
+        if status == 200:
+            self.end(Outcome.COMMITTED, (passed, body, load))
+        else:
+            unrun = never_ran and status in (503, 504)
+            self.end(Outcome.FULL if unrun else Outcome.ERROR, (b"", b"", load))
+
+    def broke(self, written: bool) -> None:
+        """Only a request that was written whole may have run."""
+        self.end(Outcome.RESET if written else Outcome.UNREACHABLE)
+
+    def timed_out(self) -> None:
+        if self.dialing is None:
+            self.give_up(Outcome.TIMED_OUT)
+
+    def give_up(self, outcome: Outcome) -> None:
+        """Stops waiting. The connection ends before anything else is sent: no two hops are ever out at once."""
+        if self.over:
+            return
+        written = True
+        if self.link is not None:
+            written = self.link.drop_asker()
+        elif self.dialing is not None:
+            self.dialing.cancel()
+        self.end_soon(outcome if written else Outcome.UNREACHABLE)
+
+    def end_soon(self, outcome: Outcome) -> None:
+        """On the loop's next turn: the decisions may be in the middle of the call that led here."""
+        if not self.over:
+            self.settle()
+            self.upstream.yard.deadlines.loop.call_soon(self.ended, outcome, clock() - self.sent, None)
+
+    def end(self, outcome: Outcome, answer: tuple | None = None) -> None:
+        if not self.over:
+            self.settle()
+            self.ended(outcome, clock() - self.sent, answer)
+
+    def settle(self) -> None:
+        self.over, self.link = True, None
+        self.upstream.yard.deadlines.drop(self.deadline)
+
+
+class Upstream:
+    """The one record of an upstream on sockets. Its connections rest here, the last used on top."""
+
+    def __init__(self, yard: "Yard", index: int, name: str) -> None:
+        self.yard, self.index, self.name = yard, index, name
+        self.address = ("", 0)
+        self.links: set[Link] = set()
+        self.resting: list[Link] = []
+
+    def rested(self, now: int) -> Link | None:
+        """A connection at rest, if one is surely still open at the other end."""
+        while self.resting:
+            link = self.resting.pop()
+            since = self.yard.descriptors.idle.get(link.number, 0)
+            if not link.closed and now - since < self.yard.rest:
+                self.yard.descriptors.busy(link.number)
+                return link
+            link.shut()
+        return None
+
+    def free(self, link: Link) -> None:
+        if not link.closed and link in self.links:
+            self.resting.append(link)
+            self.yard.descriptors.rest(link.number, clock())
+
+    def gone(self, link: Link) -> None:
+        self.links.discard(link)
+        if link in self.resting:
+            self.resting.remove(link)
+
+    def close_idle(self) -> None:
+        while self.resting:
+            self.resting.pop().shut()
+
+    def moved(self, address: tuple[str, int]) -> None:
+        if address != self.address:
+            self.address = address
+            for link in tuple(self.links):
+                link.keep = False  # it leads to the old place: finished there, not used again
+            self.close_idle()
+
+
+class Yard:
+    """What all upstreams share, and the upstreams themselves, by id and by index."""
+
+    def __init__(
+        self, deadlines: Deadlines, descriptors: Descriptors, dial_time: int, rest: int, log: Callable
+    ) -> None:
+        self.deadlines, self.descriptors, self.dial_time, self.log = deadlines, descriptors, dial_time, log
+        self.rest = rest  # for how long an idle connection is used again
+        self.upstreams: list[Upstream] = []
+        self.indices: dict[str, int] = {}
+
+    def find(self, name: str) -> Upstream:
+        index = self.indices.get(name)
+        if index is None:
+            index = self.indices[name] = len(self.upstreams)
+            self.upstreams.append(Upstream(self, index, name))
+        return self.upstreams[index]
+
+    def sweep(self) -> None:
+        """Closes what the other end would close soon: a request written to that would be lost."""
+        for link in self.descriptors.rested(clock() - self.rest):
+            if isinstance(link, Link):
+                link.shut()
+        self.deadlines.at(clock() + self.rest // 8, self.sweep)
--- /dev/null
+++ b/dahliabend/net/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, their rings and the tables that own them. Nothing here knows HTTP."""
--- /dev/null
+++ b/dahliabend/net/transport/connection.py
@@ -0,0 +1,156 @@
+"""One socket with a ring each way."""
+
+import asyncio
+import socket
+from collections import deque
+
+from dahliabend.net.transport.descriptors import Descriptors
+from dahliabend.net.transport.ring import Ring
+
+RING = 8192
+
+
+class Connection(asyncio.BufferedProtocol):
+    """Bytes in and out, with backpressure. What they mean is a subclass's: `received`, `flushed`, `lost`.
+
+    Its descriptor belongs to the table of `Descriptors`, from here until `release`.
+    """
+
+    def __init__(self, descriptors: Descriptors) -> None:
+        self.descriptors = descriptors
+        self.number = descriptors.take(self)
+        self.incoming, self.outgoing = Ring(RING), Ring(RING)
+        self.pending: deque[bytes] = deque()  # what the outgoing ring has no room for yet
+        self.at = 0  # how much of the first pending piece is in the ring
+        self.lent = 0  # bytes of the ring that the transport still reads
+        self.blocked = self.holding = self.paused = self.closed = self.broken = False
+        self.transport: asyncio.Transport | None = None
+        self.sock: socket.socket | None = None
+
+    # What a subclass fills in.
+
+    def received(self, view: memoryview) -> None: ...
+    def flushed(self) -> None: ...
+    def lost(self) -> None: ...
+
+    # Reading.
+
+    def connection_made(self, transport) -> None:
+        self.transport = transport
+        # At 0 a write goes to the socket at once, and `pause_writing` tells if it did not go whole.
+        transport.set_write_buffer_limits(high=0)
+        if self.closed:
+            transport.abort()
+
+    def get_buffer(self, hint: int) -> memoryview:
+        return self.incoming.room()
+
+    def buffer_updated(self, count: int) -> None:
+        self.incoming.commit(count)
+        self.drain()
+
+    def drain(self) -> None:
+        """Hands on what has come, unless it is to wait; a full ring holds the peer back."""
+        ring = self.incoming
+        while ring.count and not self.holding and not self.closed:
+            view = ring.filled()
+            self.received(view)
+            ring.consume(len(view))
+        full = ring.count == ring.size
+        if full != self.paused and self.transport is not None and not self.closed:
+            self.paused = full
+            (self.transport.pause_reading if full else self.transport.resume_reading)()
+
+    # Writing.
+
+    @property
+    def whole(self) -> bool:
+        """Has the system taken all that was written?"""
+        return not (self.blocked or self.pending or self.outgoing.count or self.broken)
+
+    def write(self, data: bytes) -> None:
+        self.pending.append(data)
+        self.pump()
+
+    def pump(self) -> None:
+        ring = self.outgoing
+        while not self.blocked and not self.closed and self.transport is not None:
+            while self.pending and ring.count < ring.size:
+                self.at += ring.put(self.pending[0], self.at)
+                if self.at == len(self.pending[0]):
+                    self.pending.popleft()
+                    self.at = 0
+            if not ring.count:
+                return self.flushed()
+            view = ring.filled()
+            self.transport.write(view)
+            if self.transport.is_closing():
+                self.broken = True  # the system refused it
+                return
+            if self.blocked:
+                self.lent = len(view)
+                return
+            ring.consume(len(view))
+
+    def pause_writing(self) -> None:
+        self.blocked = True
+
+    def resume_writing(self) -> None:
+        self.blocked = False
+        self.outgoing.consume(self.lent)
+        self.lent = 0
+        self.pump()
+
+    # Ending.
+
+    def eof_received(self) -> bool:
+        return False
+
+    def shut(self) -> None:
+        """Ends it at once; the peer is told before this returns."""
+        if self.closed:
+            return
+        self.closed = True
+        self.descriptors.busy(self.number)
+        if self.sock is not None and self.transport is not None:
+            try:
+                self.sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # it had ended already
+        if self.transport is not None:
+            self.transport.abort()
+
+    def finish(self) -> None:
+        """Closes it in order; all written has been flushed."""
+        if not self.closed:
+            self.closed = True
+            self.descriptors.busy(self.number)
+            if self.transport is not None:
+                self.transport.close()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.closed = True
+        self.release()
+        self.lost()
+        self.transport = self.sock = None
+
+    def release(self) -> None:
+        self.descriptors.give_back(self.number)
+
+
+async def dial(loop: asyncio.AbstractEventLoop, address: tuple[str, int], connection: Connection) -> None:
+    """Connects; OSError if that fails. Cancelled, it leaves nothing open."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        await loop.sock_connect(sock, address)
+        connection.sock = sock
+        await loop.create_connection(lambda: connection, sock=sock)
+    except BaseException:
+        if connection.transport is None:
+            sock.close()
+            connection.closed = True
+            connection.release()
+        else:
+            connection.transport.abort()
+        raise
--- /dev/null
+++ b/dahliabend/net/transport/deadlines.py
@@ -0,0 +1,67 @@
+"""All deadlines, in one ordered structure, and the clock that they go by."""
+
+import asyncio
+from collections.abc import Callable
+from heapq import heapify, heappop, heappush
+from time import monotonic_ns
+
+FEW = 64  # entries below which dropped ones are not worth clearing out
+
+
+def clock() -> int:
+    """Monotonic time in whole microseconds."""
+    return monotonic_ns() // 1000
+
+
+class Deadlines:
+    """A heap of `[when, order, call, arguments]`, and one timer of the loop, for the first of them."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.heap: list[list] = []
+        self.order = self.dropped = 0
+        self.timer: asyncio.TimerHandle | None = None
+        self.armed_for = 0
+
+    def at(self, when: int, call: Callable, *arguments) -> list:
+        self.order += 1
+        entry = [when, self.order, call, arguments]
+        heappush(self.heap, entry)
+        if self.timer is None or when < self.armed_for:
+            self.arm()
+        return entry
+
+    def drop(self, entry: list | None) -> None:
+        """Takes an entry back; one that has been called, or none at all, is no fault."""
+        if entry is None or entry[2] is None:
+            return
+        entry[2] = entry[3] = None
+        self.dropped += 1
+        if self.dropped > FEW and self.dropped * 2 > len(self.heap):
+            self.heap = [kept for kept in self.heap if kept[2] is not None]
+            heapify(self.heap)
+            self.dropped = 0
+
+    def arm(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.heap:
+            self.armed_for = self.heap[0][0]
+            self.timer = self.loop.call_later(max(0, self.armed_for - clock()) / 1e6, self.ring)
+
+    def ring(self) -> None:
+        self.timer = None
+        now = clock()
+        while self.heap and self.heap[0][0] <= now:
+            entry = heappop(self.heap)
+            call, arguments = entry[2], entry[3]
+            if call is None:
+                self.dropped -= 1
+                continue
+            entry[2] = entry[3] = None
+            try:
+                call(*arguments)
+            except Exception as error:  # one failed call must not silence all later deadlines
+                self.loop.call_exception_handler({"message": "deadline", "exception": error})
+        self.arm()
