Connections to upstreams are kept

Checked: the parser, with a complete answer fed by hand: should_keep_alive() is true inside on_message_complete and false once it has returned. At fault: Link.received asked afterwards.

--- a/dahliabend/config.py
+++ b/dahliabend/config.py
@@ -165,9 +165,7 @@
         if not name or name in names[:number]:
             raise ValueError(f"settings.profiles[{number}].name: {name!r} is empty or used before")
         if conf.profiles[number].stream:
-            raise ValueError(
-                f"settings.profiles[{number}].stream: streamed answers are not served on sockets"
-            )
+            raise ValueError(f"settings.profiles[{number}].stream: no streams on sockets")
     if node.log not in ("info", "debug"):
         raise ValueError(f"log: {node.log!r} is neither info nor debug")
     try:
--- a/dahliabend/net/program/log.py
+++ b/dahliabend/net/program/log.py
@@ -10,8 +10,8 @@
 
 
 class Log:
-    """Lines are gathered and written once a turn of the loop. Whoever reads them slowly loses lines, and is told
-    how many: a full pipe must not stop the balancer."""
+    """Lines are gathered and written once a turn of the loop. Whoever reads them slowly loses lines, and is
+    told how many: a full pipe must not stop the balancer."""
 
     def __init__(self, name: str, verbose: bool = False, sink: int = 2) -> None:
         self.name, self.verbose, self.sink = name, verbose, sink
--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -50,7 +50,7 @@
         self.discovery.open()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
-        self.log("listening", address="%s:%d" % self.node.listen, tier=self.node.settings.tier)
+        self.log("listening", address=":".join(map(str, self.node.listen)), tier=self.node.settings.tier)
         # What the start made stays: no pause is spent on walking it again.
         gc.collect()
         gc.freeze()
--- a/dahliabend/net/protocol/discovery.py
+++ b/dahliabend/net/protocol/discovery.py
@@ -154,7 +154,7 @@
             return self.ended(watch)
         self.deadlines.drop(self.silence)
         self.silence = self.deadlines.at(clock() + SILENT, self.silent)
-        watch.ask("%s:%d" % self.address)
+        watch.ask(f"{self.address[0]}:{self.address[1]}")
 
     def heard(self) -> None:
         self.tried, self.wait = True, FIRST
--- a/dahliabend/net/protocol/upstreams.py
+++ b/dahliabend/net/protocol/upstreams.py
@@ -68,13 +68,14 @@
         self.body.append(part)
 
     def on_message_complete(self) -> None:
+        status = self.parser.get_status_code()
         # An answer that ends with its connection cannot be told from a cut one, and counts as that.
-        if self.parser.get_status_code() >= 200 and (
-            self.sized or self.parser.get_status_code() in (204, 304)
-        ):
-            if self.complete:
-                self.keep = False  # two answers to one request
-            self.complete = True
+        if status < 200 or not (self.sized or status in (204, 304)):
+            return
+        # A second answer to one request: the connection is not to be trusted. The parser tells here only
+        # whether the connection stays open; once this returns it has forgotten.
+        self.keep = self.keep and not self.complete and self.parser.should_keep_alive()
+        self.complete = True
 
     # Bytes and their ends.
 
@@ -89,7 +90,7 @@
             self.keep = False
         if self.complete:
             asker, self.asker = self.asker, None
-            self.keep = self.keep and self.parser.should_keep_alive() and not wire.closes(self.named)
+            self.keep = self.keep and not wire.closes(self.named)
             status, passed = self.parser.get_status_code(), wire.passed_on(self.headers, self.named)
             if self.keep and self.whole:
                 self.pool.free(self)
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -17,8 +17,8 @@
     """A transaction taken: its caller, its handle and its hops."""
 
     __slots__ = (
-        "again", "answered", "body", "caller", "handle", "head", "hops", "number", "passed", "profile", "taken",
-        "trace", "trail",
+        "answered", "body", "caller", "handle", "head", "hops", "number", "passed", "profile", "taken", "trace",
+        "trail",
     )  # fmt: skip
 
     def __init__(self, caller: Caller, profile: int, head: bytes, passed: bytes, body: bytes, trace: bytes):
@@ -196,7 +196,7 @@
         self.deadlines.at(when, self.give_up_all)
 
     def give_up_all(self) -> None:
-        """The program is killed soon: what is out by now counts as timed out, lest it end without an answer."""
+        """The program is killed soon: what is out counts as timed out, lest it end without an answer."""
         for ticket in self.tickets:
             for hop in ticket.hops:
                 hop.give_up(Outcome.TIMED_OUT)
--- a/dahliabend/net/routing/upstreams.py
+++ b/dahliabend/net/routing/upstreams.py
@@ -11,7 +11,7 @@
 
 
 class Errand:
-    """Something asked of an upstream, with a deadline of its own. `ended` is called once, never from `start`."""
+    """Something asked of an upstream, with its own deadline. `ended` is called once, never from `start`."""
 
     def __init__(self, upstream: "Upstream", message: bytes, timeout: int) -> None:
         self.upstream, self.message, self.sent = upstream, message, clock()
@@ -71,7 +71,7 @@
             self.give_up(Outcome.TIMED_OUT)
 
     def give_up(self, outcome: Outcome) -> None:
-        """Stops waiting. The connection ends before anything else is sent: no two hops are ever out at once."""
+        """Stops waiting. The connection ends before anything else is sent: no two hops are out at once."""
         if self.over:
             return
         written = True
--- a/dahliabend/net/transport/connection.py
+++ b/dahliabend/net/transport/connection.py
@@ -1,6 +1,7 @@
 """One socket with a ring each way."""
 
 import asyncio
+import contextlib
 import socket
 from collections import deque
 
@@ -113,10 +114,8 @@
         self.closed = True
         self.descriptors.busy(self.number)
         if self.sock is not None and self.transport is not None:
-            try:
+            with contextlib.suppress(OSError):  # it may have ended already
                 self.sock.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass  # it had ended already
         if self.transport is not None:
             self.transport.abort()
 
