--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -17,8 +17,8 @@
     """A transaction taken: its caller, its handle and its hops."""
 
     __slots__ = (
-        "answered", "body", "caller", "handle", "head", "hops", "number", "passed", "profile", "taken", "trace",
-        "trail",
+        "answered", "body", "caller", "handle", "head", "hops", "number", "passed", "profile", "taken",
+        "trace", "trail",
     )  # fmt: skip
 
     def __init__(self, caller: Caller, profile: int, head: bytes, passed: bytes, body: bytes, trace: bytes):
