--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -158,7 +158,10 @@
     def hop_ended(self, hop: Hop, outcome: Outcome, took: int, answer: tuple | None) -> None:
         ticket = hop.ticket
         ticket.trail.append((hop.upstream.name, outcome.name, took // 1000))
-        if outcome is Outcome.COMMITTED:
+        if outcome is not Outcome.COMMITTED:
+            self.log("hop", tx=ticket.trace.decode("latin-1"), order=hop.order, upstream=hop.upstream.name,
+                     outcome=outcome.name, ms=took // 1000, why=hop.why)  # fmt: skip
+        else:
             self.answer(ticket.number, "committed", 200, *answer[:2])
         ticket.handle.returned(clock(), hop.order, outcome, took, ticket.answered)
         self.drop_if_over(ticket)
--- a/dahliabend/net/routing/upstreams.py
+++ b/dahliabend/net/routing/upstreams.py
@@ -17,7 +17,7 @@
         self.upstream, self.message, self.sent = upstream, message, clock()
         self.link: Link | None = None
         self.dialing: asyncio.Task | None = None
-        self.over = False
+        self.over, self.why = False, ""
         self.until = self.sent + timeout
         self.deadline: list | None = None
 
@@ -40,7 +40,8 @@
         limit = yard.deadlines.at(min(self.until, self.sent + yard.dial_time), self.dialing.cancel)
         try:
             await dial(yard.deadlines.loop, self.upstream.address, link)
-        except (OSError, asyncio.CancelledError):
+        except (OSError, asyncio.CancelledError) as error:
+            self.why = f"connect: {error or 'no answer'}"
             # Out of its own time before the connection was: nothing to hold against the upstream.
             late = clock() >= self.until < self.sent + yard.dial_time
             return self.end(Outcome.MOOT if late else Outcome.UNREACHABLE)
