Integration tests: the program over sockets, with stand-ins for upstreams, list and callers

Found by them: an answer to rubbish drained the ring inside its own draining (Caller.linger), so the connection hung; an accept beyond the budget closed a connection that might hold a request already (now it waits in the system's queue).

--- a/dahliabend/config.py
+++ b/dahliabend/config.py
@@ -156,7 +156,7 @@
     node = msgspec.json.decode(raw, type=_Node)
     conf = node.settings
     settings = _settings(conf, "settings.")
-    _within("limits.sockets", node.limits.sockets, 32, 1 << 20)
+    _within("limits.sockets", node.limits.sockets, 64, 1 << 20)
     _within("settings.caps.conn-idle", conf.caps.conn_idle, 1, 1e9)
     _within("settings.caps.dial-timeout", conf.caps.dial_timeout, 1, 1e9)
     _within("settings.caps.most-held", conf.caps.most_held, 1, 1e9)
--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -38,7 +38,7 @@
             node.discovery, book, self.deadlines, self.descriptors, node.dial_time,
             self.router.balancer.chance, log,
         )  # fmt: skip
-        self.listener = Listener()
+        self.listener = Listener(self.deadlines, self.descriptors, self.accept)
         self.patience = max(node.longest)
         if node.known:
             book.read(node.known, first=True)
@@ -46,16 +46,17 @@
 
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
-        await self.listener.open(self.node.listen, self.accept)
-        self.discovery.open()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
+        self.listener.open(self.node.listen)
+        self.discovery.open()
         self.log("listening", address=":".join(map(str, self.node.listen)), tier=self.node.settings.tier)
         # What the start made stays: no pause is spent on walking it again.
         gc.collect()
         gc.freeze()
         self.beat()
         await self.done
+        self.discovery.stop()
         self.log("ended", counts=self.router.counts)
 
     def accept(self) -> Caller:
@@ -93,7 +94,6 @@
 
     def stop_accepting(self) -> None:
         self.listener.close()
-        self.discovery.stop()
         self.wait_for_callers(clock())
 
     def wait_for_callers(self, since: int) -> None:
--- a/dahliabend/net/protocol/callers.py
+++ b/dahliabend/net/protocol/callers.py
@@ -48,10 +48,7 @@
 
     def connection_made(self, transport) -> None:
         super().connection_made(transport)
-        if self.number < 0:  # not even the reserve has room: it would take sockets from the others
-            self.shut()
-        else:
-            self.descriptors.rest(self.number, clock())
+        self.descriptors.rest(self.number, clock())
 
     # What the parser tells.
 
@@ -115,6 +112,8 @@
     # Bytes and their ends.
 
     def received(self, view: memoryview) -> None:
+        if self.last:
+            return  # nothing more is taken here
         try:
             self.parser.feed_data(view)
         except httptools.HttpParserUpgrade:
@@ -170,12 +169,13 @@
         self.ticket = -1
         if self.closed:
             return
-        self.keep = self.keep and not self.desk.closing()
+        self.keep = self.keep and (bool(self.queue) or not self.desk.closing())
         ending = b"" if self.keep else b"Connection: close\r\n"
         head = b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n" % (
             status, wire.REASONS.get(status, b"Other"), len(body),
         )  # fmt: skip
         self.served, self.last = True, not self.keep
+        self.deadlines.drop(self.stalled)
         # A caller that reads nothing would hold its descriptor, and the answer's bytes, for ever.
         self.stalled = self.deadlines.at(clock() + self.patience, self.shut)
         self.write(head + headers + ending + b"\r\n" + body)
@@ -187,12 +187,21 @@
         self.deadlines.drop(self.stalled)
         self.stalled = None
         if self.last:
-            return self.finish()
+            return self.finish() if not self.fault else self.linger()
         self.descriptors.rest(self.number, clock())
         if self.queue or self.incoming.count or self.began or self.fault:
             # On the loop's next turn: a long queue answered at once would nest a call for each.
             self.deadlines.loop.call_soon(self.go_on)
 
+    def linger(self) -> None:
+        """Closes after a request not read to its end: closed at once, what comes of it would wipe the answer
+        out before the caller has read it. The answer's deadline still runs."""
+        self.fault, self.holding = 0, False
+        self.stalled = self.deadlines.at(clock() + self.patience // 4, self.shut)
+        if self.transport is not None and self.transport.can_write_eof():
+            self.transport.write_eof()
+        self.deadlines.loop.call_soon(self.drain)
+
     def go_on(self) -> None:
         if not self.closed:
             self.serve()
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -110,6 +110,10 @@
             born = (started * 1000 + self.epoch or 1) if started else 0
             told.append((upstream.index, state, born, weight, cell, self.zones.get(zone, -1), name.encode()))
         self.balancer.listed(clock(), told, full)
+        named = {row[0] for row in told}
+        for upstream in self.yard.upstreams if full else ():
+            if upstream.index not in named:
+                upstream.close_idle()
 
     def list_failed(self) -> None:
         self.balancer.list_failed(clock())
--- a/dahliabend/net/transport/connection.py
+++ b/dahliabend/net/transport/connection.py
@@ -24,7 +24,7 @@
         self.pending: deque[bytes] = deque()  # what the outgoing ring has no room for yet
         self.at = 0  # how much of the first pending piece is in the ring
         self.lent = 0  # bytes of the ring that the transport still reads
-        self.blocked = self.holding = self.paused = self.closed = self.broken = False
+        self.blocked = self.holding = self.paused = self.closed = self.broken = self.leaving = False
         self.transport: asyncio.Transport | None = None
         self.sock: socket.socket | None = None
 
@@ -142,6 +142,7 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         await loop.sock_connect(sock, address)
         connection.sock = sock
         await loop.create_connection(lambda: connection, sock=sock)
--- a/dahliabend/net/transport/descriptors.py
+++ b/dahliabend/net/transport/descriptors.py
@@ -2,7 +2,8 @@
 
 from dahliabend.net.transport.slots import Slots
 
-RESERVE = 1 / 16  # of the limit: kept for the listener, the watch, the log, and callers told that we are full
+OTHERS = 16  # what the program holds beside connections: standard streams, listener, loop, files at the start
+RESERVE = 1 / 16  # of the limit: kept for callers who can only be told that there is no room for a hop
 
 
 class Descriptors:
@@ -10,24 +11,35 @@
 
     Idle connections are remembered in the order in which they went idle; the oldest is closed when another
     is wanted and none is left.
+
+    >>> budget = Descriptors(20)
+    >>> [budget.take(n) for n in "abc"], budget.full(), budget.exhausted()
+    ([0, 1, 2], True, False)
+    >>> budget.take("d"), budget.exhausted(), budget.give_back(1), budget.exhausted()
+    (3, True, None, False)
     """
 
     def __init__(self, limit: int) -> None:
-        self.connections: Slots = Slots(limit)
-        self.room = limit - max(8, round(limit * RESERVE))
+        self.connections: Slots = Slots(limit - OTHERS)
+        self.room = limit - OTHERS - max(1, round(limit * RESERVE))
         self.idle: dict[int, int] = {}  # number: since when
+        self.leaving = 0  # told to go, not yet closed
 
     def full(self) -> bool:
-        """Is none left but the reserve? Then the oldest idle connection is told to go."""
-        if len(self.connections) < self.room:
+        """Is none left but the reserve? Then the oldest idle connection is told to go, and makes room."""
+        if len(self.connections) - self.leaving < self.room:
             return False
-        while self.idle:
-            connection = self.connections.get(next(iter(self.idle)))
-            self.idle.pop(next(iter(self.idle)))
-            if connection is not None:
-                connection.shut()  # its slot comes back once it is closed; until then the reserve bears it
-                return len(self.connections) >= self.connections.size - 4
-        return True
+        if not self.idle:
+            return True
+        connection = self.connections.get(next(iter(self.idle)))
+        self.leaving += 1  # its slot comes back once it is closed; until then the reserve bears it
+        connection.leaving = True
+        connection.shut()
+        return self.exhausted()
+
+    def exhausted(self) -> bool:
+        """Is even the reserve gone?"""
+        return len(self.connections) >= self.connections.size
 
     def take(self, connection) -> int:
         return self.connections.put(connection)
@@ -50,4 +62,6 @@
 
     def give_back(self, number: int) -> None:
         self.idle.pop(number, None)
-        self.connections.drop(number)
+        connection = self.connections.drop(number)
+        if getattr(connection, "leaving", False):
+            self.leaving -= 1
--- a/dahliabend/net/transport/listener.py
+++ b/dahliabend/net/transport/listener.py
@@ -1,20 +1,82 @@
 """Where connections come in."""
 
 import asyncio
+import contextlib
+import socket
 from collections.abc import Callable
 
+from dahliabend.net.transport.connection import Connection
+from dahliabend.net.transport.deadlines import Deadlines, clock
+from dahliabend.net.transport.descriptors import Descriptors
+
 BACKLOG = 1024
+AT_ONCE = 64  # accepted in one turn of the loop
+PAUSE = 5_000  # how long to wait where no descriptor is left
 
 
 class Listener:
-    def __init__(self) -> None:
-        self.server: asyncio.Server | None = None
+    """Accepts as long as there are descriptors. What waits longer waits in the system's queue: accepted and
+    closed at once, a request already written would be lost."""
+
+    def __init__(
+        self, deadlines: Deadlines, descriptors: Descriptors, accepted: Callable[[], Connection]
+    ) -> None:
+        self.deadlines, self.descriptors, self.accepted = deadlines, descriptors, accepted
+        self.sock: socket.socket | None = None
+        self.starting: set[asyncio.Task] = set()
+
+    def open(self, address: tuple[str, int]) -> None:
+        """OSError where the address cannot be had."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        try:
+            sock.bind(address)
+            sock.listen(BACKLOG)
+        except OSError:
+            sock.close()
+            raise
+        self.sock = sock
+        self.go_on()
+
+    def go_on(self) -> None:
+        if self.sock is not None:
+            self.deadlines.loop.add_reader(self.sock.fileno(), self.come_in)
+
+    def come_in(self) -> None:
+        for _ in range(AT_ONCE):
+            if self.descriptors.exhausted():
+                self.deadlines.loop.remove_reader(self.sock.fileno())
+                self.deadlines.at(clock() + PAUSE, self.go_on)
+                return
+            try:
+                sock, _ = self.sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError:  # the system itself has no descriptor left
+                self.deadlines.loop.remove_reader(self.sock.fileno())
+                self.deadlines.at(clock() + PAUSE, self.go_on)
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            task = self.deadlines.loop.create_task(self.start(sock, self.accepted()))
+            self.starting.add(task)
+            task.add_done_callback(self.starting.discard)
 
-    async def open(self, address: tuple[str, int], accept: Callable[[], asyncio.BaseProtocol]) -> None:
-        loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(accept, *address, backlog=BACKLOG, reuse_address=True)
+    async def start(self, sock: socket.socket, connection: Connection) -> None:
+        connection.sock = sock
+        try:
+            await self.deadlines.loop.connect_accepted_socket(lambda: connection, sock=sock)
+        except OSError:
+            if connection.transport is None:
+                connection.release()
+                with contextlib.suppress(OSError):
+                    sock.close()
 
     def close(self) -> None:
-        if self.server is not None:
-            self.server.close()
-            self.server = None
+        """Accepts no more. What the system has accepted by now is still taken in."""
+        if self.sock is not None:
+            self.come_in()
+            self.deadlines.loop.remove_reader(self.sock.fileno())
+            self.sock.close()
+            self.sock = None
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,4 +1,15 @@
-"""A port that writes down what it is asked to do, and balancers in a wanted state."""
+"""A port that writes down what it is asked to do, balancers in a wanted state, and stand-ins on sockets."""
+
+import json
+import os
+import socket
+import sys
+import time
+from contextlib import contextmanager, suppress
+from queue import Queue
+from subprocess import PIPE, Popen
+from tempfile import NamedTemporaryFile
+from threading import Thread
 
 from dahliabend.decide import Balancer
 from dahliabend.model import Effect, Group, Profile, Settings, State
@@ -38,3 +49,166 @@
 
 def taken(made, profile, now=100 * S, ref=1, **more):
     return made.take(now, ref, profile, 0, now + 5 * S, **more)
+
+
+# The program on sockets, and stand-ins for what it speaks to. All waits end: at an event, or at PATIENCE.
+
+PATIENCE = 10.0
+CONF = {
+    "balancers": 1, "discovery": "pushed", "self-index": 0, "localities": ["a"],
+    "profiles": [
+        {"name": "query", "service-goal": 1000.0, "hard-limit": 3000.0, "semantics": "idempotent"},
+        {"name": "submit", "service-goal": 1000.0, "hard-limit": 3000.0, "semantics": "at_most_once"},
+    ],
+    "caps": {"most-hops": 4, "may-cancel": True, "probing": True, "retry-after": True,
+             "max-retry-after": 3000.0, "conn-idle": 5000.0, "dial-timeout": 200.0},
+    "contract": {"cold-share": 0.5, "cold": 1000.0, "fall-multiple": 3.0},
+}  # fmt: skip
+
+
+def read_message(file):
+    """A message's first line, headers (names in lower case) and body; None where the connection has ended."""
+    first = file.readline()
+    if not first.endswith(b"\n"):
+        return None
+    headers = {}
+    while (line := file.readline()) not in (b"\r\n", b""):
+        name, _, value = line.decode().partition(":")
+        headers[name.lower()] = value.strip()
+    return first.decode().strip(), headers, file.read(int(headers.get("content-length", 0)))
+
+
+class Server:
+    """Listens on loopback; each connection is a thread that runs `serve`."""
+
+    def __init__(self):
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        self.open = []
+        Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        with suppress(OSError):
+            while True:
+                conn, _ = self.sock.accept()
+                self.open.append(conn)
+                Thread(target=self.guard, args=(conn,), daemon=True).start()
+
+    def guard(self, conn):
+        with suppress(OSError), conn:
+            self.serve(conn)
+
+    def close(self):
+        for sock in (self.sock, *self.open):
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            sock.close()
+
+
+def answer(body=b"done", head="HTTP/1.1 200 OK", extra=""):
+    return f"{head}\r\n{extra}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+class Upstream(Server):
+    """Requests go into `came`, a connection's end into `ended`; `play(conn, request)`, false to close."""
+
+    def __init__(self, play=None):
+        self.came, self.ended = Queue(), Queue()
+        self.play = play or (lambda conn, request: conn.sendall(answer(request[2] or b"done")) is None)
+        super().__init__()
+
+    def serve(self, conn):
+        with conn.makefile("rb") as file:
+            while request := read_message(file):
+                if request[0].startswith("GET /-/"):
+                    conn.sendall(answer(b"ok"))
+                    continue
+                self.came.put(request)
+                if not self.play(conn, request):
+                    return
+        self.ended.put(True)
+
+
+class Agent(Server):
+    """Discovery: `asked` has the path of each watch; `tell` writes a line to the newest."""
+
+    def __init__(self, *servers):
+        self.asked, self.watches, self.servers = Queue(), [], servers
+        super().__init__()
+
+    def serve(self, conn):
+        with conn.makefile("rb") as file:
+            request = read_message(file)
+            conn.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            self.watches.append(conn)
+            if len(self.watches) == 1:
+                self.tell(1, True, *self.servers)
+            self.asked.put(request[0])
+            file.read()
+
+    def tell(self, version, full, *servers):
+        line = json.dumps({"version": version, "full": full, "servers": servers}).encode() + b"\n"
+        self.watches[-1].sendall(b"%x\r\n%b\r\n" % (len(line), line))
+
+
+def entry(name, upstream, state="up"):
+    return {"id": name, "addr": upstream.address, "zone": "a", "cell": 0, "state": state, "started_ms": 0}
+
+
+class Caller:
+    """One connection to a balancer."""
+
+    def __init__(self, address):
+        host, port = address.split(":")
+        self.sock = socket.create_connection((host, int(port)), PATIENCE)
+        self.file = self.sock.makefile("rb")
+
+    def send(self, profile="query", method="GET", body=b"", expires="2000", trace="t1", extra=""):
+        head = f"{method} /{profile}?a=b HTTP/1.1\r\nHost: api\r\nX-Trace-Id: {trace}\r\n{extra}"
+        head += f"X-Expires-In-Ms: {expires}\r\n" if expires else ""
+        self.sock.sendall(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+
+    def ask(self, *args, **more):
+        """The status, headers and body that come back."""
+        self.send(*args, **more)
+        return self.read()
+
+    def read(self):
+        message = read_message(self.file)
+        return message and (int(message[0].split()[1]), *message[1:])
+
+
+@contextmanager
+def program(*upstreams, ready=True, agent=None, conf=None, **more):
+    """A running balancer before these upstreams: its address, its process and its discovery."""
+    own = agent or Agent(*(entry(f"s-{n}", u) for n, u in enumerate(upstreams)))
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        address = f"127.0.0.1:{free.getsockname()[1]}"
+    raw = {"listen": address, "discovery": own.address, "settings": {**CONF, **(conf or {})}, **more}
+    with NamedTemporaryFile("w", suffix=".json") as file:
+        json.dump(raw, file)
+        file.flush()
+        process = Popen(
+            [sys.executable, "-m", "dahliabend"], env={**os.environ, "PROXY_CONFIG": file.name}, stderr=PIPE
+        )
+        try:
+            first = process.stderr.readline()
+            while b'"listening"' not in first:
+                assert first, "it ended at its start"
+                first = process.stderr.readline()
+            Thread(target=process.stderr.read, daemon=True).start()
+            end = time.monotonic() + PATIENCE
+            while ready and is_ready(address) != 200:
+                assert time.monotonic() < end, "never ready"
+            yield address, process, own
+        finally:
+            process.kill()
+            process.wait()
+            for server in (own, *upstreams):
+                server.close()
+
+
+def is_ready(address):
+    caller = Caller(address)
+    caller.sock.sendall(b"GET /-/ready HTTP/1.1\r\nHost: api\r\n\r\n")
+    return caller.read()[0]
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,282 @@
+"""The program, started and spoken to over sockets."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from queue import Empty
+from threading import Event
+
+import pytest
+from helpers import CONF, PATIENCE, Agent, Caller, Upstream, answer, entry, is_ready, program
+
+
+def test_a_transaction_passes_unchanged_and_connections_are_kept():
+    up = Upstream()
+    with program(up) as (address, _, _):
+        caller, body = Caller(address), b"x" * 65536
+        for trace in ("t1", "t2"):
+            got = caller.ask(
+                "submit", "POST", body, "1500", trace, extra="X-Own: 7\r\nConnection: x-hop\r\nX-Hop: 1\r\n"
+            )
+            assert got[0] == 200 and got[2] == body
+            first, headers, sent = up.came.get(timeout=PATIENCE)
+            assert first == "POST /submit?a=b HTTP/1.1" and sent == body and headers["x-trace-id"] == trace
+            assert 0 < int(headers["x-expires-in-ms"]) <= 1500
+            assert headers["x-own"] == "7" and "x-hop" not in headers
+        assert len(up.open) == 1
+
+
+def closed(conn, request):
+    return False
+
+
+def cut(conn, request):
+    conn.sendall(answer(b"whole", extra="")[:-2])
+
+
+def endless(conn, request):
+    conn.sendall(b"HTTP/1.1 200 OK\r\n\r\nno length, so no end but the connection's")
+
+
+def says(head, extra="", body=b""):
+    return lambda conn, request: conn.sendall(answer(body, head, extra)) is None
+
+
+UNRUN = "X-Never-Ran: 1\r\n"
+
+
+@pytest.mark.parametrize(
+    ("play", "again"),
+    [
+        (closed, False), (cut, False), (endless, False), (says("HTTP/1.1 500 No"), False),
+        (says("HTTP/1.1 503 No"), False), (says("HTTP/1.1 400 No", UNRUN), False),
+        (says("HTTP/1.1 200 OK", body=b"x" * 70000), False), (says("rubbish"), False),
+        (says("HTTP/1.1 503 No", UNRUN), True), (says("HTTP/1.1 504 No", UNRUN), True),
+    ],
+)  # fmt: skip
+def test_what_may_have_run_is_never_sent_again_and_what_never_ran_is(play, again):
+    asked = []
+
+    def first_only(conn, request):
+        asked.append(request)
+        return play(conn, request) if len(asked) == 1 else conn.sendall(answer()) is None
+
+    with program(Upstream(first_only), Upstream(first_only)) as (address, _, _):
+        status = Caller(address).ask("submit", "POST", b"x")[0]
+        assert (status, len(asked)) == ((200, 2) if again else (502, 1))
+
+
+def test_a_refused_connection_is_a_hop_that_never_ran():
+    dead, up = Upstream(), Upstream()
+    dead.close()
+    with program(dead, up) as (address, _, _):
+        assert [Caller(address).ask("submit", "POST", trace=f"t{n}")[0] for n in range(4)] == [200] * 4
+
+
+def test_a_silent_upstream_costs_the_hop_and_the_caller_is_answered_by_its_limit():
+    silent = Event()
+    with program(Upstream(lambda conn, request: silent.wait(PATIENCE))) as (address, _, _):
+        caller = Caller(address)
+        assert caller.ask("submit", "POST", expires="300")[0] == 502
+        got = caller.ask("query", expires="300")
+        assert got[0] == 503 and 0 < float(got[1]["retry-after"]) <= 3
+        silent.set()
+
+
+def test_a_connection_that_never_comes_up_ends_in_time():
+    full = Upstream()
+    full.sock.listen(0)
+    with program(full, conf={"profiles": CONF["profiles"]}) as (address, _, _):
+        full.close()
+        assert Caller(address).ask("submit", "POST")[0] == 503
+
+
+GOOD = "POST /submit HTTP/1.1\r\nX-Trace-Id: t\r\nX-Expires-In-Ms: 900\r\n"
+
+
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        ("rubbish\r\n\r\n", 400), ("\x16\x03\x01\x02\x00\x01\x00", 400),
+        (GOOD.replace("X-Trace-Id: t\r\n", "") + "\r\n", 400),
+        (GOOD.replace("submit", "other") + "\r\n", 404),
+        (GOOD.replace("900", "soon") + "\r\n", 400), (GOOD.replace("900", "0") + "\r\n", 400),
+        (GOOD.replace("900", "-5") + "\r\n", 400),
+        (GOOD.replace("X-Expires-In-Ms: 900\r\n", "") + "\r\n", 400),
+        (GOOD + "X-Expires-In-Ms: 800\r\n\r\n", 400), (GOOD + "Content-Length: 65537\r\n\r\n", 413),
+        (GOOD + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+        (GOOD + "Transfer-Encoding: chunked\r\n\r\n" + ("2000\r\n" + "x" * 8192 + "\r\n") * 9, 413),
+        (GOOD + "X-Long: " + "x" * 20000 + "\r\n\r\n", 431), ("DELETE" + GOOD[4:] + "\r\n", 405),
+        ("GET /-/other HTTP/1.1\r\n\r\n", 404), ("GET " + "/x" * 20000 + " HTTP/1.1\r\n\r\n", 431),
+    ],
+)  # fmt: skip
+def test_callers_faults_get_a_plain_answer_and_harm_no_other(served, raw, status):
+    address, up = served
+    other, bad = Caller(address), Caller(address)
+    bad.sock.sendall(raw.encode("latin-1"))
+    got = bad.read()
+    assert (
+        got[0] == status and other.ask()[0] == 200 and up.came.get(timeout=PATIENCE)[1]["x-trace-id"] == "t1"
+    )
+
+
+@pytest.fixture(scope="module")
+def served():
+    up = Upstream()
+    with program(up) as (address, _, _):
+        yield address, up
+
+
+def test_pipelined_and_trickled_requests_are_answered_in_order(served):
+    address, up = served
+    caller = Caller(address)
+    raw = (GOOD + "Content-Length: 1\r\n\r\n%d").encode()
+    caller.sock.sendall(b"".join(raw % n for n in range(5)))
+    assert [caller.read()[2] for _ in range(5)] == [b"%d" % n for n in range(5)]
+    for n in raw % 7:
+        caller.sock.sendall(bytes([n]))
+    assert caller.read()[::2] == (200, b"7")
+    for _ in range(6):
+        up.came.get(timeout=PATIENCE)
+
+
+def test_a_caller_that_leaves_takes_its_hop_with_it():
+    up = Upstream(lambda conn, request: True)
+    with program(up) as (address, _, _):
+        caller = Caller(address)
+        caller.send()
+        up.came.get(timeout=PATIENCE)
+        caller.file.close()
+        caller.sock.close()
+        assert up.ended.get(timeout=PATIENCE)
+
+
+def test_idle_connections_to_upstreams_close_before_their_time():
+    up = Upstream()
+    caps = {**CONF["caps"], "conn-idle": 400.0}
+    with program(up, conf={"caps": caps}) as (address, _, _):
+        assert Caller(address).ask()[0] == 200 and up.ended.get(timeout=PATIENCE)
+
+
+def test_the_list_drains_moves_and_removes_and_a_lost_watch_learns_what_it_missed():
+    one, two, three = Upstream(), Upstream(), Upstream()
+    agent = Agent(entry("s-1", one))
+    with program(one, two, three, agent=agent) as (address, _, _):
+        caller = Caller(address)
+        assert agent.asked.get(timeout=PATIENCE).split()[1] == "/api/targets?watch=1"
+
+        def reaches(upstream):
+            """The list arrives when it does: asked until it has."""
+            for n in range(1000):
+                caller.ask(trace=f"r{n}")
+                try:
+                    return bool(upstream.came.get(timeout=0.02))
+                except Empty:
+                    continue
+            return False
+
+        assert reaches(one)
+        agent.tell(2, False, entry("s-2", two), entry("s-1", one, "draining"))
+        assert reaches(two)
+        one.came.queue.clear()
+        assert [caller.ask()[0] for _ in range(6)] == [200] * 6 and one.came.empty()
+        agent.tell(3, False, entry("s-2", three))  # the same upstream at another address
+        assert reaches(three)
+        agent.watches[-1].shutdown(2)
+        assert agent.asked.get(timeout=PATIENCE).split()[1] == "/api/targets?watch=1&after=3"
+        agent.tell(4, True, entry("s-1", one))  # left out of a full list is gone
+        assert reaches(one)
+        agent.tell(5, False, {"id": "s-1", "state": "removed"}, {"id": 7}, {"state": "up"})
+        for _ in range(1000):
+            if is_ready(address) == 503:
+                break
+        assert is_ready(address) == 503 and caller.ask()[0] == 503
+
+
+def test_it_starts_from_the_list_it_had_with_discovery_down():
+    up, agent = Upstream(), Agent()
+    agent.close()
+    known = {"version": 41, "full": True, "servers": [entry("s-1", up)]}
+    with program(up, agent=agent, known=known) as (address, _, _):
+        assert Caller(address).ask()[0] == 200
+
+
+def test_it_is_not_ready_with_nobody_to_send_to():
+    with program(ready=False) as (address, _, _):
+        assert is_ready(address) == 503 and Caller(address).ask()[0] == 503
+
+
+def test_sigterm_answers_what_is_held_takes_the_last_connections_and_ends():
+    go = Event()
+
+    def wait(conn, request):
+        return go.wait(PATIENCE) and conn.sendall(answer()) is None
+
+    up = Upstream(wait)
+    with program(up) as (address, process, _):
+        idle, busy = Caller(address), Caller(address)
+        busy.send(expires="3000")
+        up.came.get(timeout=PATIENCE)
+        process.send_signal(signal.SIGTERM)
+        assert idle.read() is None  # closed between requests
+        late = Caller(address)
+        late.send(trace="t2", expires="3000")
+        up.came.get(timeout=PATIENCE)
+        go.set()
+        for caller in (busy, late):
+            got = caller.read()
+            assert got[0] == 200 and got[1]["connection"] == "close" and caller.read() is None
+        assert process.wait(PATIENCE) == 0
+
+
+def test_sigterm_leaves_nothing_unanswered_at_a_silent_upstream():
+    silent = Event()
+    up = Upstream(lambda conn, request: silent.wait(PATIENCE))
+    profiles = [{**p, "hard-limit": 9000.0, "tardy-revenue": 0.5} for p in CONF["profiles"]]
+    with program(up, conf={"profiles": profiles}) as (address, process, _):
+        caller = Caller(address)
+        caller.send("submit", "POST", expires="9000")
+        up.came.get(timeout=PATIENCE)
+        process.send_signal(signal.SIGTERM)
+        assert caller.read()[0] == 502 and process.wait(PATIENCE) == 0
+        silent.set()
+
+
+def test_with_few_sockets_all_callers_are_answered():
+    up = Upstream()
+    with program(up, limits={"sockets": 64}) as (address, _, _):
+        callers = [Caller(address) for _ in range(120)]
+        statuses = []
+        for n, caller in enumerate(callers):
+            try:
+                statuses.append(caller.ask(trace=f"t{n}") or (0,))
+            except OSError:
+                statuses.append((0,))  # closed between requests: it had sent nothing yet
+        fresh = [Caller(address).ask(trace=f"f{n}")[0] for n in range(40)]
+        assert {s[0] for s in statuses} <= {0, 200, 503} and statuses[-1][0] == 200 and set(fresh) == {200}
+
+
+@pytest.mark.parametrize(
+    ("raw", "key"),
+    [
+        ({"settings": None}, "settings"), ({"listen": "nowhere"}, "listen"), ({"seed": "xyz"}, "seed"),
+        ({"discovery": "127.0.0.1:99999"}, "discovery"), ({"limits": {"sockets": 3}}, "limits.sockets"),
+        ({"limits": {"sockets": "x"}}, "limits.sockets"), ({"log": "loud"}, "log"),
+        ({"settings": {**CONF, "profiles": []}}, "settings.profiles"),
+        ({"settings": {**CONF, "profiles": [{**CONF["profiles"][0], "name": ""}]}}, "profiles[0].name"),
+        ({"settings": {**CONF, "caps": {"most-hops": 0}}}, "settings.caps.most-hops"),
+        ({"settings": {**CONF, "balancers": "two"}}, "settings.balancers"),
+    ],
+)  # fmt: skip
+def test_a_faulty_configuration_ends_with_one_line_that_names_the_key(tmp_path, raw, key):
+    path = tmp_path / "config.json"
+    whole = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "settings": CONF, **raw}
+    path.write_text(json.dumps(whole))
+    done = subprocess.run(
+        [sys.executable, "-m", "dahliabend"],
+        env={**os.environ, "PROXY_CONFIG": str(path)},
+        capture_output=True,
+    )
+    assert done.returncode == 2 and key in done.stderr.decode() and done.stderr.count(b"\n") == 1
