--- a/dahliabend/config.py
+++ b/dahliabend/config.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Mapping
 from dataclasses import dataclass
+from ipaddress import IPv4Address
 
 import msgspec
 
@@ -194,11 +195,27 @@
     )
 
 
-def _address(key: str, text: str) -> tuple[str, int]:
+def address(text: str) -> tuple[str, int]:
+    """Host and port; there are no names to resolve here.
+
+    >>> address("10.0.0.4:8080")
+    ('10.0.0.4', 8080)
+    """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"{key}: {text!r} is not HOST:PORT")
-    return host, int(port)
+    try:
+        IPv4Address(host)
+        if port.isascii() and port.isdigit() and 0 < int(port) < 65536:
+            return host, int(port)
+    except ValueError:
+        pass
+    raise ValueError(f"{text!r} is not an IPv4 address and port")
+
+
+def _address(key: str, text: str) -> tuple[str, int]:
+    try:
+        return address(text)
+    except ValueError as error:
+        raise ValueError(f"{key}: {error}") from None
 
 
 def _within(key: str, value: float, least: float, most: float) -> None:
--- a/dahliabend/net/protocol/callers.py
+++ b/dahliabend/net/protocol/callers.py
@@ -183,7 +183,7 @@
         self.deadlines.drop(self.stalled)
         # A caller that reads nothing would hold its descriptor, and the answer's bytes, for ever.
         self.stalled = self.deadlines.at(clock() + self.patience, self.shut)
-        self.write(head + headers + ending + b"\r\n" + body)
+        self.write(head + headers + ending + b"\r\n", body)
 
     def flushed(self) -> None:
         if not self.served:
--- a/dahliabend/net/protocol/discovery.py
+++ b/dahliabend/net/protocol/discovery.py
@@ -7,6 +7,7 @@
 import httptools
 import orjson
 
+from dahliabend.config import address
 from dahliabend.model import State
 from dahliabend.net.transport.connection import Connection, dial
 from dahliabend.net.transport.deadlines import Deadlines, clock
@@ -32,25 +33,12 @@
     >>> entry({"id": "s-1", "addr": "10.0.0.1:80", "state": "up", "zone": "a"})
     ('s-1', ('10.0.0.1', 80), <State.READY: 1>, 0, 1.0, 0, 'a')
     """
-    host, _, port = str(raw["addr"]).rpartition(":") if "addr" in raw else ("", "", "0")
-    state = _STATES[raw["state"]]
-    name = raw["id"]
-    if (
-        not isinstance(name, str)
-        or not name
-        or (state is not State.GONE and not (host and 0 < int(port) < 65536))
-    ):
-        raise ValueError("no id or no address")
+    state, name = _STATES[raw["state"]], raw["id"]
+    if not isinstance(name, str) or not name:
+        raise ValueError("no id")
+    place = ("", 0) if state is State.GONE else address(str(raw.get("addr")))
     started, cell = int(raw.get("started_ms") or 0), int(raw.get("cell") or 0)
-    return (
-        name,
-        (host, int(port)),
-        state,
-        started,
-        float(raw.get("weight") or 1.0),
-        cell,
-        str(raw.get("zone", "")),
-    )
+    return name, place, state, started, float(raw.get("weight") or 1.0), cell, str(raw.get("zone", ""))
 
 
 class Book:
--- a/dahliabend/net/protocol/upstreams.py
+++ b/dahliabend/net/protocol/upstreams.py
@@ -30,14 +30,14 @@
         self.asker: Asker | None = None
         self.keep = True
 
-    def ask(self, asker: Asker, message: bytes) -> None:
+    def ask(self, asker: Asker, head: bytes, body: bytes) -> None:
         self.asker = asker
         self.parser = httptools.HttpResponseParser(self)
         self.headers: list[tuple[bytes, bytes]] = []
         self.body: list[bytes] = []
         self.size, self.named, self.load, self.never_ran = 0, b"", b"", False
         self.sized = self.complete = False
-        self.write(message)
+        self.write(head, body)
 
     # What the parser tells.
 
--- a/dahliabend/net/routing/probes.py
+++ b/dahliabend/net/routing/probes.py
@@ -16,7 +16,7 @@
         message = b"GET %b HTTP/1.1\r\nHost: %b:%d\r\n\r\n" % (
             path, upstream.address[0].encode(), upstream.address[1],
         )  # fmt: skip
-        super().__init__(upstream, message, timeout)
+        super().__init__(upstream, message, b"", timeout)
         self.fields, self.told = fields, told
 
     def ended(self, outcome: Outcome, took: int, answer: tuple | None) -> None:
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -33,10 +33,10 @@
     """One sending of a transaction."""
 
     def __init__(self, router: "Router", ticket: Ticket, upstream, timeout: int) -> None:
-        message = b"%bX-Expires-In-Ms: %d\r\n%bContent-Length: %d\r\n\r\n%b" % (
-            ticket.head, max(1, timeout // 1000), ticket.passed, len(ticket.body), ticket.body,
+        head = b"%bX-Expires-In-Ms: %d\r\n%bContent-Length: %d\r\n\r\n" % (
+            ticket.head, max(1, timeout // 1000), ticket.passed, len(ticket.body),
         )  # fmt: skip
-        super().__init__(upstream, message, timeout)
+        super().__init__(upstream, head, ticket.body, timeout)
         self.router, self.ticket, self.order = router, ticket, len(ticket.hops)
 
     def ended(self, outcome: Outcome, took: int, answer: tuple | None) -> None:
@@ -210,8 +210,5 @@
 
 
 def _hint(text: bytes) -> int:
-    try:
-        hint = float(text) if text else 0.0
-    except ValueError:
-        return 0
-    return round(hint * 1000) if 0 < hint < 1e9 else 0
+    """The work to expect, whole microseconds on a standard core; none where it is no such number."""
+    return int(text) if text.isdigit() and len(text) <= 12 else 0
--- a/dahliabend/net/routing/upstreams.py
+++ b/dahliabend/net/routing/upstreams.py
@@ -13,8 +13,8 @@
 class Errand:
     """Something asked of an upstream, with its own deadline. `ended` is called once, never from `start`."""
 
-    def __init__(self, upstream: "Upstream", message: bytes, timeout: int) -> None:
-        self.upstream, self.message, self.sent = upstream, message, clock()
+    def __init__(self, upstream: "Upstream", head: bytes, body: bytes, timeout: int) -> None:
+        self.upstream, self.head, self.body, self.sent = upstream, head, body, clock()
         self.link: Link | None = None
         self.dialing: asyncio.Task | None = None
         self.over, self.why = False, ""
@@ -29,7 +29,7 @@
         self.deadline = yard.deadlines.at(self.until, self.timed_out)
         self.link = self.upstream.rested(self.sent)
         if self.link is not None:
-            self.link.ask(self, self.message)
+            self.link.ask(self, self.head, self.body)
         elif yard.descriptors.full():
             self.end_soon(Outcome.MOOT)  # no socket left: the upstream is not to blame
         else:
@@ -52,7 +52,7 @@
         if self.over:  # called off meanwhile: the connection is as good as new
             return self.upstream.free(link)
         self.link = link
-        link.ask(self, self.message)
+        link.ask(self, self.head, self.body)
 
     # What comes back.
 
@@ -75,12 +75,10 @@
         """Stops waiting. The connection ends before anything else is sent: no two hops are out at once."""
         if self.over:
             return
-        written = True
-        if self.link is not None:
-            written = self.link.drop_asker()
-        elif self.dialing is not None:
+        written = self.link is not None and self.link.drop_asker()
+        if self.dialing is not None:
             self.dialing.cancel()
-        self.end_soon(outcome if written else Outcome.UNREACHABLE)
+        self.end_soon(outcome if written or outcome is Outcome.CANCELLED else Outcome.UNREACHABLE)
 
     def end_soon(self, outcome: Outcome) -> None:
         """On the loop's next turn: the decisions may be in the middle of the call that led here."""
--- a/dahliabend/net/transport/connection.py
+++ b/dahliabend/net/transport/connection.py
@@ -69,8 +69,9 @@
         """Has the system taken all that was written?"""
         return not (self.blocked or self.pending or self.outgoing.count or self.broken)
 
-    def write(self, data: bytes) -> None:
-        self.pending.append(data)
+    def write(self, *pieces: bytes) -> None:
+        """Sends the pieces as one; none is copied as a whole, as many callers may wait with long bodies."""
+        self.pending.extend(pieces)
         self.pump()
 
     def pump(self) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -74,7 +74,7 @@
     upstream.links.add(link)
     Pipe(link, takes)
     upstream.free(link)
-    errand = Asked(upstream, b"x" * length, S)
+    errand = Asked(upstream, b"x" * (length // 2), b"y" * (length - length // 2), S)
     errand.start()
     return errand, link
 
@@ -158,7 +158,7 @@
     upstream = yard(limit=26).find("s-1")
     for _ in range(10):
         Connection(upstream.yard.descriptors)
-    errand = Asked(upstream, b"x", S)
+    errand = Asked(upstream, b"x", b"", S)
     errand.start()
     assert errand.outcome is Outcome.MOOT
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -3,10 +3,13 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
+from contextlib import ExitStack
 from queue import Empty
 from threading import Event
+from types import SimpleNamespace
 
 import pytest
 from helpers import CONF, PATIENCE, Agent, Caller, Upstream, answer, entry, is_ready, program
@@ -86,11 +89,15 @@
 
 
 def test_a_connection_that_never_comes_up_ends_in_time():
-    full = Upstream()
-    full.sock.listen(0)
-    with program(full, conf={"profiles": CONF["profiles"]}) as (address, _, _):
-        full.close()
-        assert Caller(address).ask("submit", "POST")[0] == 503
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as full, ExitStack() as stack:
+        for _ in range(4):  # its queue is full: the system drops what comes now, and says nothing
+            waiting = stack.enter_context(socket.socket())
+            waiting.setblocking(False)
+            waiting.connect_ex(full.getsockname())
+        silent = SimpleNamespace(address=f"127.0.0.1:{full.getsockname()[1]}", close=lambda: None)
+        with program(silent) as (address, _, _):
+            assert Caller(address).ask("submit", "POST")[0] == 503
+            assert Caller(address).ask("submit", "POST", expires="90")[0] == 503
 
 
 GOOD = "POST /submit HTTP/1.1\r\nX-Trace-Id: t\r\nX-Expires-In-Ms: 900\r\n"
@@ -267,7 +274,7 @@
 @pytest.mark.parametrize(
     ("raw", "key"),
     [
-        ({"settings": None}, "settings"), ({"listen": "nowhere"}, "listen"), ({"seed": "xyz"}, "seed"),
+        ({"settings": None}, "settings"), ({"seed": "xyz"}, "seed"), ({"listen": "localhost:80"}, "listen"),
         ({"discovery": "127.0.0.1:99999"}, "discovery"), ({"limits": {"sockets": 3}}, "limits.sockets"),
         ({"limits": {"sockets": "x"}}, "limits.sockets"), ({"log": "loud"}, "log"),
         ({"settings": {**CONF, "profiles": []}}, "settings.profiles"),
