--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+.PHONY: build test lint run
+
+build: .venv/installed
+
+.venv/installed: requirements.txt
+	test -d .venv || python3 -m venv .venv
+	.venv/bin/pip -q install -r requirements.txt
+	cp requirements.txt .venv/installed
+	.venv/bin/python -m compileall -q dahliabend
+
+.venv/dev: build requirements-dev.txt
+	.venv/bin/pip -q install -r requirements-dev.txt
+	touch .venv/dev
+
+test: .venv/dev
+	.venv/bin/python -m pytest -q tests --doctest-modules dahliabend
+
+lint: .venv/dev
+	.venv/bin/ruff check dahliabend tests
+	.venv/bin/ruff format --check dahliabend tests
+
+run: build
+	exec .venv/bin/python -m dahliabend
