--- a/dahliabend/config.py
+++ b/dahliabend/config.py
@@ -167,6 +167,10 @@
             raise ValueError(f"settings.profiles[{number}].name: {name!r} is empty or used before")
         if conf.profiles[number].stream:
             raise ValueError(f"settings.profiles[{number}].stream: no streams on sockets")
+    if node.known and not isinstance(node.known.get("version"), int):
+        raise ValueError("known.version: missing, or no whole number")
+    if not isinstance(node.known.get("servers", []), list):
+        raise ValueError("known.servers: no list")
     if node.log not in ("info", "debug"):
         raise ValueError(f"log: {node.log!r} is neither info nor debug")
     try:
--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -27,7 +27,7 @@
 class Program:
     def __init__(self, node: Node, log: Log) -> None:
         loop = asyncio.get_running_loop()
-        self.node, self.log = node, log
+        self.listen, self.log = node.listen, log
         self.done = loop.create_future()
         self.deadlines = Deadlines(loop)
         self.descriptors = Descriptors(node.sockets)
@@ -48,9 +48,9 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
-        self.listener.open(self.node.listen)
+        self.listener.open(self.listen)
         self.discovery.open()
-        self.log("listening", address=":".join(map(str, self.node.listen)), tier=self.node.settings.tier)
+        self.log("listening", address=":".join(map(str, self.listen)), entrance=self.router.balancer.entrance)
         # What the start made stays: no pause is spent on walking it again.
         gc.collect()
         gc.freeze()
@@ -93,9 +93,9 @@
 
     def stop_accepting(self) -> None:
         self.listener.close()
-        self.wait_for_callers(clock())
+        self.wait_for_callers()
 
-    def wait_for_callers(self, since: int) -> None:
+    def wait_for_callers(self) -> None:
         callers = self.callers(self.descriptors.connections)
         for caller in callers:
             caller.let_go(clock() - ACCEPTING)
@@ -103,7 +103,7 @@
             if not self.done.done():
                 self.done.set_result(None)
         else:
-            self.deadlines.at(clock() + IN_HAND // 30, self.wait_for_callers, since)
+            self.deadlines.at(clock() + IN_HAND // 30, self.wait_for_callers)
 
 
 async def serve(node: Node, log: Log) -> None:
--- a/dahliabend/net/protocol/discovery.py
+++ b/dahliabend/net/protocol/discovery.py
@@ -100,7 +100,8 @@
         try:
             self.parser.feed_data(view)
             self.heard()
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self.book.log("watch.broken", why=repr(error.__context__ or error))
             self.shut()
 
     def lost(self) -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -277,6 +277,7 @@
         ({"settings": None}, "settings"), ({"seed": "xyz"}, "seed"), ({"listen": "localhost:80"}, "listen"),
         ({"discovery": "127.0.0.1:99999"}, "discovery"), ({"limits": {"sockets": 3}}, "limits.sockets"),
         ({"limits": {"sockets": "x"}}, "limits.sockets"), ({"log": "loud"}, "log"),
+        ({"known": {"servers": []}}, "known.version"), ({"known": [1]}, "known"),
         ({"settings": {**CONF, "profiles": []}}, "settings.profiles"),
         ({"settings": {**CONF, "profiles": [{**CONF["profiles"][0], "name": ""}]}}, "profiles[0].name"),
         ({"settings": {**CONF, "caps": {"most-hops": 0}}}, "settings.caps.most-hops"),
