--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -64,8 +64,8 @@
         head = b"%b %b HTTP/1.1\r\n" % (method, target)
         ticket = Ticket(caller, profile, head, passed, body, trace)
         ticket.number = number = self.tickets.put(ticket)
-        # The time runs from the caller's sending; on a busy machine the bytes have lain unread for a while, and
-        # the answer will too. An answer at the very limit would come after it.
+        # The time runs from the caller's sending; on a busy machine the bytes have lain unread for a while,
+        # and so will the answer. One at the very limit would come after it.
         expires = min(expires, self.longest[profile])
         deadline = began + expires - min(self.slack, expires // 8)
         if self.stop_at:
