--- a/dahliabend/net/transport/connection.py
+++ b/dahliabend/net/transport/connection.py
@@ -144,6 +144,9 @@
     def connection_lost(self, error: Exception | None) -> None:
         self.closed = True
         self.release()
+        if self.sock is not None:
+            with contextlib.suppress(OSError):  # closed for good before anyone acts on it
+                self.sock.shutdown(socket.SHUT_RDWR)
         self.lost()
         self.transport = self.sock = None
 
--- a/dahliabend/net/transport/deadlines.py
+++ b/dahliabend/net/transport/deadlines.py
@@ -48,7 +48,9 @@
             self.timer = None
         if self.heap:
             self.armed_for = self.heap[0][0]
-            self.timer = self.loop.call_later(max(0, self.armed_for - clock()) / 1e6, self.ring)
+            # The loop counts in milliseconds: rounded down, it would wake again and again until it is time.
+            wait = -((clock() - self.armed_for) // 1000)
+            self.timer = self.loop.call_later(max(0, wait) / 1000, self.ring)
 
     def ring(self) -> None:
         self.timer = None
