--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	cp requirements.txt .venv/installed
 	.venv/bin/python -m compileall -q dahliabend
 
-.venv/dev: build requirements-dev.txt
+.venv/dev: .venv/installed requirements-dev.txt
 	.venv/bin/pip -q install -r requirements-dev.txt
 	touch .venv/dev
 
--- a/dahliabend/net/routing/upstreams.py
+++ b/dahliabend/net/routing/upstreams.py
@@ -43,7 +43,7 @@
         except (OSError, asyncio.CancelledError) as error:
             self.why = f"connect: {error or 'no answer'}"
             # Out of its own time before the connection was: nothing to hold against the upstream.
-            late = clock() >= self.until < self.sent + yard.dial_time
+            late = self.until <= min(clock(), self.sent + yard.dial_time)
             return self.end(Outcome.MOOT if late else Outcome.UNREACHABLE)
         finally:
             yard.deadlines.drop(limit)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -12,7 +12,7 @@
 from types import SimpleNamespace
 
 import pytest
-from helpers import CONF, PATIENCE, Agent, Caller, Upstream, answer, entry, is_ready, program
+from helpers import CONF, PATIENCE, Agent, Caller, Server, Upstream, answer, entry, is_ready, program
 
 
 def test_a_transaction_passes_unchanged_and_connections_are_kept():
@@ -202,9 +202,17 @@
         assert is_ready(address) == 503 and caller.ask()[0] == 503
 
 
-def test_it_starts_from_the_list_it_had_with_discovery_down():
-    up, agent = Upstream(), Agent()
-    agent.close()
+class SilentAgent(Server):
+    def serve(self, conn):
+        while conn.recv(1024):
+            pass
+
+
+@pytest.mark.parametrize("silent", [False, True])
+def test_it_starts_from_the_list_it_had_with_discovery_down(silent):
+    up, agent = Upstream(), SilentAgent()
+    if not silent:
+        agent.close()
     known = {"version": 41, "full": True, "servers": [entry("s-1", up)]}
     with program(up, agent=agent, known=known) as (address, _, _):
         assert Caller(address).ask()[0] == 200
