--- a/dahliabend/net/protocol/callers.py
+++ b/dahliabend/net/protocol/callers.py
@@ -168,7 +168,8 @@
             self.ticket = ticket
 
     def refuse(self, status: int) -> None:
-        self.answer(status, b"", wire.REASONS[status] + b"\n")
+        allow = b"Allow: GET, POST\r\n" if status == 405 else b""
+        self.answer(status, allow, wire.REASONS[status] + b"\n")
 
     def answer(self, status: int, headers: bytes, body: bytes) -> None:
         """The one answer to the request being served."""
