Ended connections and transactions leave no rings of references

Checked: no descriptor left behind (18 after 12,000 callers), so memory only: a parser holds its connection, a hop its transaction, and both wait for the collector. At fault: Caller.lost, Link.lost, Router.drop_if_over.

--- a/dahliabend/net/protocol/callers.py
+++ b/dahliabend/net/protocol/callers.py
@@ -235,6 +235,7 @@
             self.finish()
 
     def lost(self) -> None:
+        self.parser = None  # it holds this connection and its rings
         self.deadlines.drop(self.stalled)
         ticket, self.ticket = self.ticket, -1
         if ticket >= 0:
--- a/dahliabend/net/protocol/upstreams.py
+++ b/dahliabend/net/protocol/upstreams.py
@@ -29,6 +29,7 @@
         self.pool = pool
         self.asker: Asker | None = None
         self.keep = True
+        self.parser: httptools.HttpResponseParser | None = None
 
     def ask(self, asker: Asker, head: bytes, body: bytes) -> None:
         self.asker = asker
@@ -113,6 +114,7 @@
         return written
 
     def lost(self) -> None:
+        self.parser = None  # it holds this connection and its rings
         self.pool.gone(self)
         asker, self.asker = self.asker, None
         if asker is not None:
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -193,6 +193,8 @@
     def drop_if_over(self, ticket: Ticket) -> None:
         if ticket.handle.over:
             self.tickets.drop(ticket.number)
+            # Its hops name it: left so, each transaction and its body would wait for the garbage collector.
+            ticket.hops.clear()
 
     def probed(self, upstream: int, outcome: Outcome) -> None:
         self.balancer.probed(clock(), upstream, outcome)
