--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,9 +1,11 @@
 """Parts of the network code on their own: each test builds what it needs and calls one function."""
 
 import asyncio
+import gc
 import socket
 from contextlib import closing
 from types import SimpleNamespace
+from weakref import ref
 
 from helpers import MS, Notes, S
 
@@ -11,10 +13,12 @@
 from dahliabend.net.protocol.callers import Caller
 from dahliabend.net.protocol.discovery import Book, Discovery
 from dahliabend.net.protocol.upstreams import Link
+from dahliabend.net.routing.router import Router, Ticket
 from dahliabend.net.routing.upstreams import Errand, Yard
 from dahliabend.net.transport.connection import RING, Connection
 from dahliabend.net.transport.deadlines import Deadlines, clock
 from dahliabend.net.transport.descriptors import Descriptors
+from dahliabend.net.transport.slots import Slots
 
 DESK = SimpleNamespace(closing=lambda: False, profiles={}, ready=lambda: True)
 
@@ -250,3 +254,33 @@
         discovery.watch.connection_lost(None)
         assert discovery.again[0] <= clock() + waits[-1]
     assert waits == sorted(waits) and waits[0] < waits[-1] <= S and len(notes.of("list_failed")) == 9
+
+
+def test_ended_connections_and_transactions_leave_nothing_for_the_collector():
+    gc.disable()
+    try:
+        for make in (lambda: Caller(Descriptors(100), yard().deadlines, DESK, S), lambda: asked()[1]):
+            made = make()
+            Pipe(made)
+            made.connection_lost(None)
+            gone = ref(made)
+            del made
+            assert gone() is None
+        ticket = Ticket(None, 0, b"", b"", b"", b"")
+        ticket.handle, ticket.hops = SimpleNamespace(over=True), [SimpleNamespace(ticket=ticket)]
+        ticket.caller = made = Connection(Descriptors(100))
+        made.release()
+        Router.drop_if_over(SimpleNamespace(tickets=Slots(4)), ticket)
+        gone = ref(made)
+        del ticket, made
+        assert gone() is None  # nothing holds its transaction any more
+    finally:
+        gc.enable()
+
+
+def test_the_loop_is_not_woken_before_a_deadline():
+    waits = []
+    deadlines = Deadlines(SimpleNamespace(call_later=lambda wait, call: waits.append(wait)))
+    when = clock() + 10 * MS + 400
+    deadlines.at(when, print)
+    assert waits[0] * 1000 == round(waits[0] * 1000) and clock() + waits[0] * S >= when
