Read-through: repeats and needless state taken out of the network code

In the network code only: - Link.fail repeated drop_asker; Discovery set its silence deadline in three places; Listener stopped accepting in two; Program walked the callers in two; Caller had 'the first fault counts' in five wordings and one handler twice. - Descriptors kept a counter and a flag on each connection for what one set of numbers says. - An answer that goes out at once no longer sets and drops a deadline; Router.take reads the clock once less. - Checks that could not fail: the pool's membership of an open link, the end told twice, the ticket kept while serving. - Watch lacked what Caller and Link have: its parser is let go with the connection. - One thing is seen from outside: a stop in order no longer logs watch.silent, as nothing was silent.

--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -15,10 +15,8 @@
 from dahliabend.net.transport.listener import Listener
 
 ACCEPTING = 500_000  # new connections come for 0.4 s after SIGTERM at the most
-LONGEST_STOP, MARGIN = (
-    3_000_000,
-    700_000,
-)  # SIGKILL comes no sooner than the longest limit, 3 s at most, and this
+LONGEST_STOP = 3_000_000  # SIGKILL comes no sooner than the longest limit, this at most,
+MARGIN = 700_000  # and this
 IN_HAND = 300_000  # how long before that the last answers go out
 CALLER_REST = 60_000_000  # a caller's connection idle for longer is closed
 BEAT = 5_000_000  # how often the log gets a line of figures
@@ -87,21 +85,23 @@
         self.log("stopping", held=len(self.router.tickets))
         self.router.stop_by(now + min(self.patience, LONGEST_STOP) + MARGIN - IN_HAND)
         # Callers go elsewhere as soon as their connections close; those with a request are answered first.
-        for caller in self.callers(self.descriptors.connections):
-            caller.let_go(now - ACCEPTING)
+        self.let_go()
         self.deadlines.at(now + ACCEPTING, self.stop_accepting)
 
+    def let_go(self) -> list[Caller]:
+        """Closes callers' connections between requests; those that were there."""
+        callers = self.callers(self.descriptors.connections)
+        for caller in callers:
+            caller.let_go(clock() - ACCEPTING)
+        return callers
+
     def stop_accepting(self) -> None:
         self.listener.close()
         self.wait_for_callers()
 
     def wait_for_callers(self) -> None:
-        callers = self.callers(self.descriptors.connections)
-        for caller in callers:
-            caller.let_go(clock() - ACCEPTING)
-        if not callers or clock() >= self.router.stop_at + IN_HAND // 2:
-            if not self.done.done():
-                self.done.set_result(None)
+        if not self.let_go() or clock() >= self.router.stop_at + IN_HAND // 2:
+            self.done.set_result(None)
         else:
             self.deadlines.at(clock() + IN_HAND // 30, self.wait_for_callers)
 
--- a/dahliabend/net/protocol/callers.py
+++ b/dahliabend/net/protocol/callers.py
@@ -77,23 +77,27 @@
         elif low == b"expect" and value.lower() == b"100-continue" and not self.serving:
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if low in (wire.TRACE, wire.EXPIRES) and low in self.fields:
-            self.fault = 400  # which of the two is meant?
+            self.blame(400)  # which of the two is meant?
         self.fields[low] = value
 
     def grow(self, count: int) -> None:
         self.size += count
-        if self.size > wire.MOST_HEAD and not self.fault:
-            self.fault = 431
+        if self.size > wire.MOST_HEAD:
+            self.blame(431)
+
+    def blame(self, status: int) -> None:
+        """The first fault found is the one that is answered."""
+        self.fault = self.fault or status
 
     def on_headers_complete(self) -> None:
         self.size = 0
-        if int(self.fields.get(b"content-length") or 0) > wire.MOST_BODY and not self.fault:
-            self.fault = 413
+        if int(self.fields.get(b"content-length") or 0) > wire.MOST_BODY:
+            self.blame(413)
 
     def on_body(self, part: bytes) -> None:
         self.size += len(part)
         if self.size > wire.MOST_BODY:
-            self.fault = self.fault or 413
+            self.blame(413)
         else:
             self.body.append(part)
 
@@ -102,17 +106,8 @@
             return
         keep = self.parser.should_keep_alive() and not wire.closes(self.named)
         passed = wire.passed_on(self.headers, self.named)
-        self.queue.append(
-            (
-                self.began,
-                self.parser.get_method(),
-                self.target,
-                self.fields,
-                passed,
-                b"".join(self.body),
-                keep,
-            )
-        )
+        method, body = self.parser.get_method(), b"".join(self.body)
+        self.queue.append((self.began, method, self.target, self.fields, passed, body, keep))
         self.began = 0
 
     # Bytes and their ends.
@@ -122,10 +117,8 @@
             return  # nothing more is taken here
         try:
             self.parser.feed_data(view)
-        except httptools.HttpParserUpgrade:
-            self.fault = self.fault or 400
-        except httptools.HttpParserError:
-            self.fault = self.fault or 400
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.blame(400)
         self.serve()
 
     def serve(self) -> None:
@@ -159,13 +152,11 @@
         trace, expires = fields.get(wire.TRACE, b""), fields.get(wire.EXPIRES, b"")
         if not 0 < len(trace) <= LONGEST_ID or not expires.isdigit() or len(expires) > 12 or not int(expires):
             return self.refuse(400)
-        ticket = self.desk.take(
+        self.ticket = self.desk.take(
             self, profile, method, target, passed, body,
             expires=int(expires) * 1000, began=began, customer=fields.get(wire.CUSTOMER, b""),
             hint=fields.get(wire.HINT, b""), again=fields.get(wire.SECOND_TRY) == b"1", trace=trace,
         )  # fmt: skip
-        if self.serving:
-            self.ticket = ticket
 
     def refuse(self, status: int) -> None:
         allow = b"Allow: GET, POST\r\n" if status == 405 else b""
@@ -184,9 +175,10 @@
         )  # fmt: skip
         self.served, self.last = True, not self.keep
         self.deadlines.drop(self.stalled)
-        # A caller that reads nothing would hold its descriptor, and the answer's bytes, for ever.
-        self.stalled = self.deadlines.at(clock() + self.patience, self.shut)
         self.write(head + headers + ending + b"\r\n", body)
+        if self.served:
+            # A caller that reads nothing would hold its descriptor, and the answer's bytes, for ever.
+            self.stalled = self.deadlines.at(clock() + self.patience, self.shut)
 
     def flushed(self) -> None:
         if not self.served:
@@ -222,7 +214,7 @@
         if not self.began and not self.fault and self.quiet():
             self.finish()  # it never sent anything
         else:
-            self.fault = self.fault or 408
+            self.blame(408)
             self.serve()
 
     def may_go(self) -> bool:
--- a/dahliabend/net/protocol/discovery.py
+++ b/dahliabend/net/protocol/discovery.py
@@ -105,6 +105,7 @@
             self.shut()
 
     def lost(self) -> None:
+        self.parser = None  # it holds this connection and its rings
         self.ended(self)
 
 
@@ -128,7 +129,7 @@
         self.deadlines.drop(self.again)
         if self.watch is None and not self.stopped:
             self.watch = Watch(self.descriptors, self.book, self.heard, self.ended)
-            self.silence = self.deadlines.at(clock() + self.dial_time, self.silent)
+            self.expect(self.dial_time)
             self.dialing = self.deadlines.loop.create_task(self.connect(self.watch))
             if not self.tried:
                 self.deadlines.at(clock() + SOON, self.waited)
@@ -141,17 +142,23 @@
             await dial(self.deadlines.loop, self.address, watch)
         except (OSError, asyncio.CancelledError):
             return self.ended(watch)
-        self.deadlines.drop(self.silence)
-        self.silence = self.deadlines.at(clock() + SILENT, self.silent)
+        self.expect(SILENT)
         watch.ask(f"{self.address[0]}:{self.address[1]}")
 
+    def expect(self, within: int) -> None:
+        """Something is to be heard within that time."""
+        self.deadlines.drop(self.silence)
+        self.silence = self.deadlines.at(clock() + within, self.silent)
+
     def heard(self) -> None:
         self.tried, self.wait = True, FIRST
-        self.deadlines.drop(self.silence)
-        self.silence = self.deadlines.at(clock() + SILENT, self.silent)
+        self.expect(SILENT)
 
     def silent(self) -> None:
         self.log("watch.silent", version=self.book.version)
+        self.close()
+
+    def close(self) -> None:
         if self.watch is not None and self.watch.transport is not None:
             self.watch.shut()
         elif self.dialing is not None:
@@ -175,5 +182,4 @@
         self.stopped = True
         self.deadlines.drop(self.again)
         self.deadlines.drop(self.silence)
-        if self.watch is not None:
-            self.silent()
+        self.close()
--- a/dahliabend/net/protocol/upstreams.py
+++ b/dahliabend/net/protocol/upstreams.py
@@ -100,11 +100,8 @@
             asker.answered(status, self.never_ran, self.load, passed, b"".join(self.body))
 
     def fail(self) -> None:
-        asker, self.asker = self.asker, None
-        written = self.whole
-        self.shut()
-        if asker is not None:
-            asker.broke(written)
+        asker = self.asker
+        asker.broke(self.drop_asker())
 
     def drop_asker(self) -> bool:
         """Gives up the request that is out; was it written whole?"""
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -64,20 +64,19 @@
         head = b"%b %b HTTP/1.1\r\n" % (method, target)
         ticket = Ticket(caller, profile, head, passed, body, trace)
         ticket.number = number = self.tickets.put(ticket)
+        if number < 0:
+            # The table is full: the caller is told at once, nothing has run.
+            self.log("no_room", tickets=len(self.tickets))
+            caller.answer(503, b"", b"too many transactions\n")
+            return -1
         # The time runs from the caller's sending; on a busy machine the bytes have lain unread for a while,
         # and so will the answer. One at the very limit would come after it.
         expires = min(expires, self.longest[profile])
         deadline = began + expires - min(self.slack, expires // 8)
         if self.stop_at:
             deadline = min(deadline, self.stop_at)
-        if number < 0:
-            # The table is full: the caller is told at once, nothing has run.
-            self.log("no_room", tickets=len(self.tickets))
-            caller.answer(503, b"", b"too many transactions\n")
-            return -1
-        now = clock()
         ticket.handle = self.balancer.take(
-            now, number, profile, self.customers.get(customer, len(self.customers)), deadline,
+            ticket.taken, number, profile, self.customers.get(customer, len(self.customers)), deadline,
             _hint(hint), again,
         )  # fmt: skip
         self.drop_if_over(ticket)
--- a/dahliabend/net/routing/upstreams.py
+++ b/dahliabend/net/routing/upstreams.py
@@ -117,7 +117,7 @@
         return None
 
     def free(self, link: Link) -> None:
-        if not link.closed and link in self.links:
+        if not link.closed:
             self.resting.append(link)
             self.yard.descriptors.rest(link.number, clock())
 
@@ -133,7 +133,7 @@
     def moved(self, address: tuple[str, int]) -> None:
         if address != self.address:
             self.address = address
-            for link in tuple(self.links):
+            for link in self.links:
                 link.keep = False  # it leads to the old place: finished there, not used again
             self.close_idle()
 
--- a/dahliabend/net/transport/connection.py
+++ b/dahliabend/net/transport/connection.py
@@ -24,7 +24,7 @@
         self.pending: deque[bytes] = deque()  # what the outgoing ring has no room for yet
         self.at = 0  # how much of the first pending piece is in the ring
         self.lent = 0  # bytes of the ring that the transport still reads
-        self.blocked = self.holding = self.paused = self.closed = self.broken = self.leaving = False
+        self.blocked = self.holding = self.paused = self.closed = self.broken = False
         self.transport: asyncio.Transport | None = None
         self.sock: socket.socket | None = None
 
@@ -114,8 +114,10 @@
 
     def quiet(self) -> bool:
         """Has the peer sent nothing that is still to be read?"""
-        if self.incoming.count or self.sock is None:
-            return not self.incoming.count
+        if self.incoming.count:
+            return False
+        if self.sock is None:
+            return True
         try:
             return not self.sock.recv(1, socket.MSG_PEEK)
         except OSError:  # nothing there, or nothing to come any more
--- a/dahliabend/net/transport/descriptors.py
+++ b/dahliabend/net/transport/descriptors.py
@@ -29,7 +29,7 @@
         self.slow: dict[
             int, int
         ] = {}  # number of one that owes the rest of a request: when it counts as slow
-        self.leaving = 0  # told to go, not yet closed
+        self.leaving: set[int] = set()  # told to go, not yet closed
 
     def full(self, now: int = 0) -> bool:
         """Is none left but the reserve? Then the oldest idle connection is told to go, and makes room."""
@@ -39,8 +39,7 @@
         for number in chain(self.idle, late):
             connection = self.connections.get(number)
             if connection.may_go():
-                self.leaving += 1  # its slot comes back once it is closed; until then the reserve bears it
-                connection.leaving = True
+                self.leaving.add(number)  # its slot comes back once closed; until then the reserve bears it
                 connection.shut()
                 return self.exhausted()
         return True
@@ -48,7 +47,7 @@
     @property
     def crowded(self) -> bool:
         """Is the reserve in use? Then no connection is kept for later."""
-        return len(self.connections) - self.leaving >= self.room
+        return len(self.connections) - len(self.leaving) >= self.room
 
     def exhausted(self) -> bool:
         """Is even the reserve gone?"""
@@ -80,6 +79,5 @@
 
     def give_back(self, number: int) -> None:
         self.busy(number)
-        connection = self.connections.drop(number)
-        if getattr(connection, "leaving", False):
-            self.leaving -= 1
+        self.leaving.discard(number)
+        self.connections.drop(number)
--- a/dahliabend/net/transport/listener.py
+++ b/dahliabend/net/transport/listener.py
@@ -43,21 +43,21 @@
         if self.sock is not None:
             self.deadlines.loop.add_reader(self.sock.fileno(), self.come_in)
 
+    def pause(self) -> None:
+        self.deadlines.loop.remove_reader(self.sock.fileno())
+        self.deadlines.at(clock() + PAUSE, self.go_on)
+
     def come_in(self) -> None:
         for _ in range(AT_ONCE):
             # Idle connections that kept others waiting to come in would have these miss their limits.
             if self.descriptors.full(clock()) and self.descriptors.exhausted():
-                self.deadlines.loop.remove_reader(self.sock.fileno())
-                self.deadlines.at(clock() + PAUSE, self.go_on)
-                return
+                return self.pause()
             try:
                 sock, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
             except OSError:  # the system itself has no descriptor left
-                self.deadlines.loop.remove_reader(self.sock.fileno())
-                self.deadlines.at(clock() + PAUSE, self.go_on)
-                return
+                return self.pause()
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             task = self.deadlines.loop.create_task(self.start(sock, self.accepted()))
