SIGHUP reads the configuration again and moves the watch to its discovery

Checked: no handler in program/serve.py (run() set SIGTERM and SIGINT only), so the system's default ended the process. Ruled out: the restarts, which come later. At fault: program/serve.py run(); config.py let PROXY_DISCOVERY win always; protocol/discovery.py knew one address for good. Now: SIGHUP is held back from the start until the handler stands; the file's discovery wins once reloaded; a faulty file is logged by key and changes nothing; the old watch goes on until the new one is heard, so that no drain falls into a gap between them.

--- a/dahliabend/__main__.py
+++ b/dahliabend/__main__.py
@@ -1,16 +1,19 @@
 """`python -m dahliabend`: one balancer on sockets, as the file at PROXY_CONFIG says."""
 
 import os
+import signal
 import sys
 
 import uvloop
 
 from dahliabend.config import read_node
 from dahliabend.net.program.log import Log
-from dahliabend.net.program.serve import serve
+from dahliabend.net.program.serve import HELD_BACK, serve
 
 
 def main() -> int:
+    # Its default would end the program, and the file may be replaced just after it was read here.
+    signal.pthread_sigmask(signal.SIG_BLOCK, HELD_BACK)
     try:
         node = read_node(os.environ)
     except ValueError as error:  # msgspec's errors are a kind of it
--- a/dahliabend/config.py
+++ b/dahliabend/config.py
@@ -202,6 +202,12 @@
     )
 
 
+def reread_node(environment: Mapping[str, str]) -> Node:
+    """The file once more, while running. What it says goes before what the program was started with: the
+    variable still names the list service of the start."""
+    return read_node({**environment, "PROXY_DISCOVERY": ""})
+
+
 def address(text: str) -> tuple[str, int]:
     """Host and port; there are no names to resolve here.
 
--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import gc
+import os
 import signal
 
-from dahliabend.config import Node
+from dahliabend.config import Node, reread_node
 from dahliabend.net.program.log import Log
 from dahliabend.net.protocol.callers import Caller
 from dahliabend.net.protocol.discovery import Book, Discovery
@@ -19,6 +20,7 @@
 MARGIN = 700_000  # and this
 IN_HAND = 300_000  # how long before that the last answers go out
 CALLER_REST = 60_000_000  # a caller's connection idle for longer is closed
+HELD_BACK = (signal.SIGHUP,)  # from the start until it can be acted on
 BEAT = 5_000_000  # how often the log gets a line of figures
 
 
@@ -46,6 +48,8 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD_BACK)  # one that came during the start is not missed
         self.listener.open(self.listen)
         self.discovery.open()
         self.log("listening", address=":".join(map(str, self.listen)), entrance=self.router.balancer.entrance)
@@ -76,6 +80,16 @@
     def callers(self, connections) -> list[Caller]:
         return [connection for connection in connections if isinstance(connection, Caller)]
 
+    def reload(self) -> None:
+        """Takes over what can change while running. A faulty file changes nothing."""
+        try:
+            node = reread_node(os.environ)
+        except ValueError as error:
+            return self.log("reload.refused", why=str(error))
+        self.log.verbose = node.verbose
+        self.discovery.move(node.discovery)
+        self.log("reloaded", discovery=":".join(map(str, node.discovery)), debug=node.verbose)
+
     # The end.
 
     def stop(self) -> None:
--- a/dahliabend/net/protocol/discovery.py
+++ b/dahliabend/net/protocol/discovery.py
@@ -119,6 +119,7 @@
         self.address, self.book, self.deadlines, self.descriptors = address, book, deadlines, descriptors
         self.dial_time, self.chance, self.log = dial_time, chance, log
         self.watch: Watch | None = None
+        self.before: Watch | None = None  # the one at an earlier address, until the new one is heard
         self.dialing: asyncio.Task | None = None
         self.silence = self.again = None
         self.wait = FIRST
@@ -134,6 +135,25 @@
             if not self.tried:
                 self.deadlines.at(clock() + SOON, self.waited)
 
+    def move(self, address: tuple[str, int]) -> None:
+        """To another list service. An open watch goes on until the new one is heard: closed before, it would
+        leave a gap in which a drain is missed."""
+        if address == self.address or self.stopped:
+            return
+        self.address, self.wait = address, FIRST
+        if self.dialing is not None and not self.dialing.done():
+            self.dialing.cancel()
+        elif self.watch is not None:
+            self.leave_before()
+            self.before, self.watch.heard = self.watch, lambda: None
+        self.watch = None
+        self.open()
+
+    def leave_before(self) -> None:
+        if self.before is not None:
+            self.before.shut()
+            self.before = None
+
     def waited(self) -> None:
         self.tried = True
 
@@ -153,6 +173,7 @@
     def heard(self) -> None:
         self.tried, self.wait = True, FIRST
         self.expect(SILENT)
+        self.leave_before()
 
     def silent(self) -> None:
         self.log("watch.silent", version=self.book.version)
@@ -182,4 +203,5 @@
         self.stopped = True
         self.deadlines.drop(self.again)
         self.deadlines.drop(self.silence)
+        self.leave_before()
         self.close()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -180,7 +180,8 @@
 
 @contextmanager
 def program(*upstreams, ready=True, agent=None, conf=None, **more):
-    """A running balancer before these upstreams: its address, its process and its discovery."""
+    """A running balancer before these upstreams: its address, its process and its discovery. The process has
+    its configuration's `path` and content, and a queue of its log's lines."""
     own = agent or Agent(*(entry(f"s-{n}", u) for n, u in enumerate(upstreams)))
     with socket.create_server(("127.0.0.1", 0)) as free:
         address = f"127.0.0.1:{free.getsockname()[1]}"
@@ -189,14 +190,16 @@
         json.dump(raw, file)
         file.flush()
         process = Popen(
-            [sys.executable, "-m", "dahliabend"], env={**os.environ, "PROXY_CONFIG": file.name}, stderr=PIPE
-        )
+            [sys.executable, "-m", "dahliabend"], stderr=PIPE,
+            env={**os.environ, "PROXY_CONFIG": file.name, "PROXY_DISCOVERY": own.address},
+        )  # fmt: skip
+        process.path, process.conf, process.log = file.name, raw, Queue()
         try:
             first = process.stderr.readline()
             while b'"listening"' not in first:
                 assert first, "it ended at its start"
                 first = process.stderr.readline()
-            Thread(target=process.stderr.read, daemon=True).start()
+            Thread(target=lambda: [process.log.put(line) for line in process.stderr], daemon=True).start()
             end = time.monotonic() + PATIENCE
             while ready and is_ready(address) != 200:
                 assert time.monotonic() < end, "never ready"
@@ -208,6 +211,13 @@
                 server.close()
 
 
+def logged(process, event):
+    """The next line of that event in the program's log."""
+    while (line := json.loads(process.log.get(timeout=PATIENCE)))["event"] != event:
+        pass
+    return line
+
+
 def is_ready(address):
     caller = Caller(address)
     caller.sock.sendall(b"GET /-/ready HTTP/1.1\r\nHost: api\r\n\r\n")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -234,25 +234,52 @@
     assert reader == [["a"], ["d"], ["e"], ["f"]] and book.version == 2
 
 
-def test_a_silent_watch_is_opened_again_ever_later_and_the_reader_is_told():
-    class Loop:
-        def create_task(self, task):
-            task.close()
+class Loop:
+    """Dials nobody; its timers never ring."""
+
+    def create_task(self, task):
+        task.close()
 
-        def call_later(self, *_): ...
+    def call_later(self, *_): ...
 
-    notes, waits, deadlines = Notes(), [], Deadlines(Loop())
-    discovery = Discovery(
+
+def discovery():
+    notes = Notes()
+    deadlines = Deadlines(Loop())
+    return notes, Discovery(
         ("127.0.0.1", 1), Book(notes, quiet), deadlines, Descriptors(100), 75 * MS, lambda: 1.0, quiet
     )
+
+
+def test_the_old_watch_stays_until_the_new_list_service_is_heard():
+    _, moving = discovery()
+    moving.open()
+    old = moving.watch
+    Pipe(old)
+    moving.move(("127.0.0.1", 1))
+    assert moving.watch is old  # the same address
+    moving.move(("127.0.0.1", 2))
+    new = moving.watch
+    Pipe(new)
+    line = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n"
+    feed(old, line)
+    assert new is not old and not old.closed  # what it tells still counts, but nothing of the new one
+    feed(new, line)
+    assert old.closed and not new.closed
+    old.connection_lost(None)
+    assert moving.watch is new and moving.again is None
+
+
+def test_a_silent_watch_is_opened_again_ever_later_and_the_reader_is_told():
+    (notes, silent), waits = discovery(), []
     for _ in range(9):
-        discovery.open()
-        Pipe(discovery.watch)
-        discovery.silent()
-        assert discovery.watch.closed
-        waits.append(discovery.wait)
-        discovery.watch.connection_lost(None)
-        assert discovery.again[0] <= clock() + waits[-1]
+        silent.open()
+        Pipe(silent.watch)
+        silent.silent()
+        assert silent.watch.closed
+        waits.append(silent.wait)
+        silent.watch.connection_lost(None)
+        assert silent.again[0] <= clock() + waits[-1]
     assert waits == sorted(waits) and waits[0] < waits[-1] <= S and len(notes.of("list_failed")) == 9
 
 
