Open ids are refused, silent and trickling callers end in time, idle ones after 2 s

A probe of the parser: lengths beside chunks, repeated, signed and overflowing ones, folded and bare lines are refused already; a request that asks for an upgrade was taken without its body. At fault: routing/router.py take() knew no open ids; protocol/callers.py counted silence and trickles to the longest limit (6 s, 3 s are owed) and a trickle from its first byte; a line of a head without end was gathered until then; program/serve.py kept idle callers for 60 s. Now: 409 for an open id, 2.5 s from connecting for the first request, 431 once 16 KiB make no sense, callers idle for 2 s are closed.

--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -19,7 +19,8 @@
 LONGEST_STOP = 3_000_000  # SIGKILL comes no sooner than the longest limit, this at most,
 MARGIN = 700_000  # and this
 IN_HAND = 300_000  # how long before that the last answers go out
-CALLER_REST = 60_000_000  # a caller's connection idle for longer is closed
+CALLER_REST = 2_000_000  # a caller's connection idle for longer is closed
+SWEEP = CALLER_REST // 4  # how often these are looked for
 HELD_BACK = (signal.SIGHUP,)  # from the start until it can be acted on
 BEAT = 5_000_000  # how often the log gets a line of figures
 
@@ -57,6 +58,7 @@
         gc.collect()
         gc.freeze()
         self.beat()
+        self.sweep()
         await self.done
         self.discovery.stop()
         self.log("ended", counts=self.router.counts)
@@ -64,8 +66,14 @@
     def accept(self) -> Caller:
         return Caller(self.descriptors, self.deadlines, self.router, self.patience)
 
+    def sweep(self) -> None:
+        """Many callers ask once and stay: kept, their connections would be all there are."""
+        for caller in self.callers(self.descriptors.rested(clock() - CALLER_REST)):
+            caller.let_go(1)
+        self.deadlines.at(clock() + SWEEP, self.sweep)
+
     def beat(self) -> None:
-        """The figures that on-call looks for first, and callers long idle."""
+        """The figures that on-call looks for first."""
         balancer = self.router.balancer
         self.log(
             "figures", counts=self.router.counts, held=len(self.router.tickets),
@@ -73,8 +81,6 @@
             tier=round(balancer.tier.metric, 2), ready=len(balancer.ready), using=len(balancer.using),
             aside=[self.router.yard.upstreams[u.index].name for u in balancer.ready if u.aside],
         )  # fmt: skip
-        for caller in self.callers(self.descriptors.rested(clock() - CALLER_REST)):
-            caller.let_go(1)
         self.deadlines.at(clock() + BEAT, self.beat)
 
     def callers(self, connections) -> list[Caller]:
--- a/dahliabend/net/protocol/callers.py
+++ b/dahliabend/net/protocol/callers.py
@@ -11,7 +11,8 @@
 from dahliabend.net.transport.descriptors import Descriptors
 
 LONGEST_ID = 128
-SLOW = 16  # of the patience with a request half come: from that part on its connection goes if room is needed
+SEND = 2_500_000  # for a request to come whole, the first one counted from connecting; 3 s are owed
+SLOW = 8  # of that: from that part on the connection of a request half come goes if room is needed
 
 
 class Desk(Protocol):
@@ -42,6 +43,7 @@
         self.stalled: list | None = None  # the deadline of a request half come, or of an answer half gone
         self.since = 0  # when it was opened, until its first answer
         self.began = 0  # when the first byte of the request now coming came
+        self.unread = 0  # bytes since the parser last made something of them
         self.fresh()
 
     def fresh(self) -> None:
@@ -53,8 +55,8 @@
         # A fresh connection was opened for a request that may be here already: it is not idle, whatever the
         # budget; closed now, that request would be lost.
         self.since = clock()
-        self.descriptors.owes(self.number, self.since + self.patience // SLOW)
-        self.stalled = self.deadlines.at(self.since + self.patience, self.too_slow)
+        self.descriptors.owes(self.number, self.since + SEND // SLOW)
+        self.stalled = self.deadlines.at(self.since + SEND, self.too_slow)
 
     # What the parser tells.
 
@@ -90,11 +92,14 @@
         self.fault = self.fault or status
 
     def on_headers_complete(self) -> None:
-        self.size = 0
+        self.size = self.unread = 0
         if int(self.fields.get(b"content-length") or 0) > wire.MOST_BODY:
             self.blame(413)
+        if self.parser.should_upgrade():
+            self.blame(400)  # what follows is not read as its body
 
     def on_body(self, part: bytes) -> None:
+        self.unread = 0
         self.size += len(part)
         if self.size > wire.MOST_BODY:
             self.blame(413)
@@ -108,17 +113,20 @@
         passed = wire.passed_on(self.headers, self.named)
         method, body = self.parser.get_method(), b"".join(self.body)
         self.queue.append((self.began, method, self.target, self.fields, passed, body, keep))
-        self.began = 0
+        self.began = self.unread = 0
 
     # Bytes and their ends.
 
     def received(self, view: memoryview) -> None:
         if self.last:
             return  # nothing more is taken here
+        self.unread += len(view)
         try:
             self.parser.feed_data(view)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.blame(400)
+        if self.unread > wire.MOST_HEAD:
+            self.blame(431)  # the parser gathers a line without end
         self.serve()
 
     def serve(self) -> None:
@@ -135,8 +143,8 @@
             self.refuse(self.fault)
         elif self.began and not self.serving and (self.stalled is None or self.stalled[2] is None):
             # Half a request: a trickle would hold its descriptor for ever.
-            self.descriptors.owes(self.number, self.began + self.patience // SLOW)
-            self.stalled = self.deadlines.at(self.began + self.patience, self.too_slow)
+            self.descriptors.owes(self.number, self.began + SEND // SLOW)
+            self.stalled = self.deadlines.at(self.began + SEND, self.too_slow)
 
     def start(self, began, method, target, fields, passed, body, keep) -> None:
         self.keep = keep
--- a/dahliabend/net/protocol/headers.py
+++ b/dahliabend/net/protocol/headers.py
@@ -16,7 +16,7 @@
 
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
-    413: b"Content Too Large", 431: b"Request Header Fields Too Large", 502: b"Bad Gateway",
+    409: b"Conflict", 413: b"Content Too Large", 431: b"Request Header Fields Too Large", 502: b"Bad Gateway",
     503: b"Service Unavailable",
 }  # fmt: skip
 
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -52,6 +52,7 @@
         self.probe_time, self.report_fields = node.probe_time, node.report_fields
         self.epoch = node.epoch
         self.tickets: Slots[Ticket] = Slots(node.most_held)
+        self.traces: set[bytes] = set()  # the ids of those
         self.stop_at = 0  # when all that is still held is given up; 0: not stopping
         self.counts: dict[str, int] = {}
         self.balancer = Balancer(node.settings, self, node.seed)
@@ -61,6 +62,10 @@
     def take(
         self, caller, profile, method, target, passed, body, *, expires, began, customer, hint, again, trace
     ) -> int:
+        if trace in self.traces:
+            # Another's open transaction: sent on, it would be a second copy of that one at an upstream.
+            caller.refuse(409)
+            return -1
         head = b"%b %b HTTP/1.1\r\n" % (method, target)
         ticket = Ticket(caller, profile, head, passed, body, trace)
         ticket.number = number = self.tickets.put(ticket)
@@ -69,6 +74,7 @@
             self.log("no_room", tickets=len(self.tickets))
             caller.answer(503, b"", b"too many transactions\n")
             return -1
+        self.traces.add(trace)
         # The time runs from the caller's sending; on a busy machine the bytes have lain unread for a while,
         # and so will the answer. One at the very limit would come after it.
         expires = min(expires, self.longest[profile])
@@ -192,6 +198,7 @@
     def drop_if_over(self, ticket: Ticket) -> None:
         if ticket.handle.over:
             self.tickets.drop(ticket.number)
+            self.traces.discard(ticket.trace)
             # Its hops name it: left so, each transaction and its body would wait for the garbage collector.
             ticket.hops.clear()
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -44,6 +44,9 @@
     def is_closing(self):
         return self.ended
 
+    def can_write_eof(self):
+        return False
+
     def abort(self):
         self.ended = True
 
@@ -238,6 +241,18 @@
     assert caller.holding and len(caller.queue) <= RING // len(raw)
 
 
+def test_the_silent_and_the_trickling_are_owed_an_end_counted_from_connecting():
+    for sent, status in ((b"", b""), (b"GET /-/re", b"HTTP/1.1 408")):
+        caller = Caller(Descriptors(100), yard().deadlines, DESK, 9 * S)
+        pipe, came = Pipe(caller), clock()
+        for byte in sent:
+            feed(caller, bytes([byte]))
+        when, _, call, _ = caller.stalled
+        assert when <= came + 3 * S - 250 * MS  # the end has to reach them in time
+        call()
+        assert pipe.written[:12] == status and (status or pipe.ended)
+
+
 def test_deadlines_ring_in_order_and_dropped_ones_never():
     async def play():
         loop, rung = asyncio.get_running_loop(), []
@@ -339,7 +354,7 @@
         ticket.handle, ticket.hops = SimpleNamespace(over=True), [SimpleNamespace(ticket=ticket)]
         ticket.caller = made = Connection(Descriptors(100))
         made.release()
-        Router.drop_if_over(SimpleNamespace(tickets=Slots(4)), ticket)
+        Router.drop_if_over(SimpleNamespace(tickets=Slots(4), traces=set()), ticket)
         gone = ref(made)
         del ticket, made
         assert gone() is None  # nothing holds its transaction any more
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -115,7 +115,9 @@
         (GOOD + "X-Expires-In-Ms: 800\r\n\r\n", 400), (GOOD + "Content-Length: 65537\r\n\r\n", 413),
         (GOOD + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
         (GOOD + "Transfer-Encoding: chunked\r\n\r\n" + ("2000\r\n" + "x" * 8192 + "\r\n") * 9, 413),
-        (GOOD + "X-Long: " + "x" * 20000 + "\r\n\r\n", 431), ("DELETE" + GOOD[4:] + "\r\n", 405),
+        (GOOD + "X-Long: " + "x" * 20000 + "\r\n\r\n", 431), (GOOD + "X-Endless: " + "x" * 40000, 431),
+        (GOOD + "Upgrade: h2c\r\nConnection: upgrade\r\nContent-Length: 2\r\n\r\nok", 400),
+        ("DELETE" + GOOD[4:] + "\r\n", 405),
         ("GET /-/other HTTP/1.1\r\n\r\n", 404), ("GET " + "/x" * 20000 + " HTTP/1.1\r\n\r\n", 431),
     ],
 )  # fmt: skip
@@ -149,6 +151,23 @@
         up.came.get(timeout=PATIENCE)
 
 
+def test_an_id_that_is_open_is_refused_and_the_first_is_not_disturbed():
+    go = Event()
+    up = Upstream(lambda conn, request: go.wait(PATIENCE) and conn.sendall(answer(b"first")) is None)
+    with program(up) as (address, _, _):
+        first, other = Caller(address), Caller(address)
+        first.send("submit", "POST")
+        up.came.get(timeout=PATIENCE)
+        assert other.ask("submit", "POST")[0] == 409 and up.came.empty()
+        go.set()
+        assert first.read()[::2] == (200, b"first") and other.ask("submit", "POST")[0] == 200
+
+
+def test_a_caller_that_asked_once_and_stays_is_closed(served):
+    caller = Caller(served[0])
+    assert caller.ask()[0] == 200 and served[1].came.get(timeout=PATIENCE) and caller.read() is None
+
+
 def test_a_caller_that_leaves_takes_its_hop_with_it():
     up = Upstream(lambda conn, request: True)
     with program(up) as (address, _, _):
