A share with nowhere clean to go is sent unless the tier shows load

Checked with a trace of each refusal: 247 of 320 came of an upstream's or upstream-and-profile's metric while no upstream was without one; all of it spoilt answers and errors that came of them, from any upstream alike. Ruled out: the tier's metric, 0 throughout. At fault: decide.py send(): a governed share that found no clean upstream was refused, which spares nobody where load is not the cause.

--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -245,12 +245,14 @@
             return self.give_up(tx)
         u = self.choose(tx, now)
         if u and not tx.hops:
-            share, whole_tier = self.governing(u, tx.profile, now)
-            if whole_tier:  # refused at the entrance only: behind it, a refusal wastes the work done above
+            entry = self.governing(u, tx.profile, now)
+            share = entry.share(now)
+            if entry is self.tier:  # refused at the entrance only: behind it, that wastes the work done above
                 if share and self.entrance and self.chance() < share * (1 + self.mean_value - tx.value):
                     u = None
             elif share and self.chance() < share:
-                u = self.choose(tx, now, clean=True)
+                # Where all fail at times, whatever the load, a refusal spares nobody and serves nobody.
+                u = self.choose(tx, now, clean=True) or (None if self.pressed or self.tier.metric else u)
         if not u:
             return self.give_up(tx)
         hop_time = tx.end - now
@@ -267,12 +269,9 @@
         """How long a hop that may be repeated waits: by its hint, lest a heavy one be begun over and over."""
         return max(tx.kind.service_goal // 2, round(PATIENCE * self.usual[tx.profile] * tx.heft))
 
-    def governing(self, u: Upstream, profile: int, now: int) -> tuple[float, bool]:
-        """The finest valid entry's metric, and whether it is the tier's."""
-        for entry in (u.entries[profile], u.entries[-1]):
-            if share := entry.share(now):
-                return share, False
-        return self.tier.share(now), True
+    def governing(self, u: Upstream, profile: int, now: int) -> Entry:
+        """The finest entry that holds a share; the tier's where the upstream has none."""
+        return next((e for e in (u.entries[profile], u.entries[-1]) if e.share(now)), self.tier)
 
     def choose(self, tx: Transaction, now: int, clean: bool = False) -> Upstream | None:
         """Smooth weighted rotation over those not far above the mean in flight, the near ones first."""
@@ -298,7 +297,7 @@
                     weight *= self.warmth(u, now)
                 if not weight or careful and u.load > mean * weight:
                     continue
-                if clean and (not u.entries[-1].until or self.governing(u, tx.profile, now)[0]):
+                if clean and (not u.entries[-1].until or self.governing(u, tx.profile, now).share(now)):
                     continue  # one not yet heard counts at the others' mean, which is not zero here
                 u.turn += weight
                 total += weight
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -145,9 +145,9 @@
     u = made.upstreams[0]
     for entry, metric in ((made.tier, 0.3), (u.entries[-1], 0.2), (u.entries[1], 0.1)):
         entry.metric, entry.until = metric, T + S
-    assert made.governing(u, 1, T) == (0.1, False) and made.governing(u, 0, T) == (0.2, False)
-    assert made.governing(made.upstreams[1], 0, T) == (0.3, True)
-    assert made.governing(u, 1, T + S) == (0.0, True)
+    assert made.governing(u, 1, T) is u.entries[1] and made.governing(u, 0, T) is u.entries[-1]
+    assert made.governing(made.upstreams[1], 0, T) is made.tier and made.tier.share(T) == 0.3
+    assert made.governing(u, 1, T + S) is made.tier and made.tier.share(T + S) == 0.0
 
 
 def test_governed_share_goes_to_a_heard_zero_metric_upstream_or_is_refused():
@@ -161,6 +161,16 @@
     assert made.choose(taken(made, 2), T, clean=True) is None
 
 
+def test_errors_of_all_upstreams_refuse_nothing_while_the_tier_is_well():
+    for pressed, share in ((False, 0.0), (True, 0.0), (False, 0.05)):
+        made, port = balancer()
+        made.pressed, made.tier.metric = pressed, share
+        for u in made.ready:
+            u.entries[-1].metric, u.entries[-1].until = 1.0, T + S
+        taken(made, 2)
+        assert bool(port.of("send")) == (not pressed and not share)
+
+
 def test_tier_share_is_refused_at_the_entrance_and_never_behind_it():
     for tier in (0, 1):
         made, port = balancer(tier=tier)
