The crowd let in may grow by half between looks in the first validity

Checked in the figures of the log: the crowd's bound, 10 at the start, was 12.5, 15.6, 19.5 at looks a second apart; no metric was held. At fault: decide.py weigh_crowd(): one rate of growth for a bound that was learnt and for one that is a guess (START). Also tried and undone: serving callers on for half of the time after SIGTERM.

--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -22,6 +22,7 @@
 ROOM = 4 / 3, 3  # of the least such share seen: the target is kept between them
 START, LEAST = 5, 4  # hops an upstream, all balancers together: the crowd let in at first, and always
 GROW, SHRINK = 5 / 4, 1 / 2  # the most that a crowd held back may change between two looks
+RAMP = 3 / 2  # the most that it may grow so in the first validity
 EQUAL = 3 / 5  # of the crowd: let in whatever the revenue; above it the more valuable go first
 SKIP = 5 / 4  # of the mean in flight: an upstream above it is skipped
 SLOW = 3 / 2  # of the usual time: the most by which a slow upstream's hops tell less of the crowd
@@ -448,7 +449,10 @@
         else:
             self.borne = blend(self.borne, self.out)
             if self.held_back:
-                self.ceiling = max(self.ceiling, self.ceiling * min(GROW, change))
+                self.ceiling = max(
+                    self.ceiling,
+                    self.ceiling * min(RAMP if self.beats <= WINDOW * VALIDITY else GROW, change),
+                )
         self.ceiling = max(self.ceiling, LEAST * len(self.ready) / self.balancers, self.borne / 2)
         self.served, self.held_back, self.weighed = 0, False, now
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -252,6 +252,14 @@
     assert made.ceiling == 20
 
 
+def test_a_crowd_held_back_grows_faster_in_the_first_validity():
+    for beats, grown in ((1, 15.0), (99, 12.5)):
+        made, _ = balancer(balancers=2, upstreams=4)
+        made.beats, made.stretch, made.low, made.held_back = beats, 0.1, 0.1, True
+        made.weigh_crowd(T)
+        assert made.ceiling == grown
+
+
 def test_one_of_many_balancers_has_room_for_chance_while_its_mean_crowd_is_under_the_bound():
     for balancers, crowd, over in ((1, 1.0, True), (9, 1.0, False), (9, 9.0, True)):
         made, _ = balancer(balancers=balancers)
