Upstreams that have gone are forgotten, and an index is never used again

Checked: records stayed after a list without them (the tests, which fail before); hops still out hold their record themselves, so a late outcome reaches that one and no other; a late probe finds nobody. Also: a connection that comes free at an upstream that drains or has gone is closed at once instead of resting until its time.

--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -21,8 +21,7 @@
 TARGET = 1 / 3  # of the service goal: hops that take more in the mean are a sign of a crowd
 ROOM = 4 / 3, 3  # of the least such share seen: the target is kept between them
 START, LEAST = 5, 4  # hops an upstream, all balancers together: the crowd let in at first, and always
-GROW, SHRINK = 5 / 4, 1 / 2  # the most that a crowd held back may change between two looks
-RAMP = 3 / 2  # the most that it may grow so in the first validity
+GROW, RAMP, SHRINK = 5 / 4, 3 / 2, 1 / 2  # the most that it may change between looks; RAMP at first
 EQUAL = 3 / 5  # of the crowd: let in whatever the revenue; above it the more valuable go first
 SKIP = 5 / 4  # of the mean in flight: an upstream above it is skipped
 SLOW = 3 / 2  # of the usual time: the most by which a slow upstream's hops tell less of the crowd
@@ -165,7 +164,7 @@
         self.values = [1 - bias * (1 - p.revenue / top) for p in s.profiles]
         self.rates = [(a or 1e12) / s.balancers / 1e6 for a in s.allowances]  # its part of each share
         self.spare = [(rate * self.window, 0) for rate in self.rates]
-        self.upstreams: list[Upstream] = []
+        self.upstreams: dict[int, Upstream] = {}  # those listed, by index
         self.ready, self.near, self.using = [], [], []  # the highest ranks first
         self.number, self.reach, self.most = s.number, 1 << 30, 1  # upstreams in use, and ever ready at once
         self.rested, self.gap = Entry(), 0.0  # hops on idle connections; how long the silent ones idled
@@ -184,19 +183,20 @@
             self.port.wake(now + self.beat, 0)
             if self.ask_again:
                 self.port.ask_list()
-        named = {row[0] for row in rows}
+        gone = {row[0] for row in rows if row[1] is State.GONE}
+        gone |= self.upstreams.keys() - {row[0] for row in rows} if full else set()
         for index, state, born, weight, cell, zone, ident in rows:
-            if index == len(self.upstreams):
+            if index not in self.upstreams:
                 rank = blake2b(ident, key=b"%d" % self.number, digest_size=8).digest()
-                self.upstreams.append(Upstream(index, rank, len(self.profiles)))
+                self.upstreams[index] = Upstream(index, rank, len(self.profiles))
             u = self.upstreams[index]
             if born != u.born:
                 self.out += len(u.held) if u.aside else 0
                 u.begin(born, now, self.chance())
             u.state, u.weight, u.cell, u.zone = state, weight if weight > 0 else 1.0, cell, zone
-        for u in self.upstreams if full else ():  # left out of a full list is gone: none may be sent there
-            u.state = u.state if u.index in named else State.GONE
-        ready = (u for u in self.upstreams if u.state is State.READY)
+        for index in gone:  # left out of a full list is gone too: none may be sent there
+            self.upstreams.pop(index).state = State.GONE  # hops still out keep the record until they end
+        ready = (u for u in self.upstreams.values() if u.state is State.READY)
         self.ready = sorted(ready, key=lambda u: u.rank, reverse=True)
         self.near = [u for u in self.ready if u.zone == self.zone] if self.near_first else self.ready
         self.most = max(self.most, len(self.ready))
@@ -408,10 +408,10 @@
             self.port.probe(u.index)
 
     def probed(self, now: int, index: int, outcome: Outcome) -> None:
-        u = self.upstreams[index]
-        u.sounding = False
-        if u.aside and outcome is Outcome.COMMITTED and now - u.since >= self.beat << min(u.strikes, 6):
-            self.bring_back(u, now)
+        if u := self.upstreams.get(index):  # not gone meanwhile
+            u.sounding = False
+            if u.aside and outcome is Outcome.COMMITTED and now - u.since >= self.beat << min(u.strikes, 6):
+                self.bring_back(u, now)
 
     def bring_back(self, u: Upstream, now: int) -> None:
         u.aside, u.heard, u.entries[-1].metric = False, now, 0.0
@@ -449,10 +449,7 @@
         else:
             self.borne = blend(self.borne, self.out)
             if self.held_back:
-                self.ceiling = max(
-                    self.ceiling,
-                    self.ceiling * min(RAMP if self.beats <= WINDOW * VALIDITY else GROW, change),
-                )
+                self.ceiling *= min(RAMP if self.beats <= WINDOW * VALIDITY else GROW, change)
         self.ceiling = max(self.ceiling, LEAST * len(self.ready) / self.balancers, self.borne / 2)
         self.served, self.held_back, self.weighed = 0, False, now
 
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -112,16 +112,16 @@
                 continue
             upstream = self.yard.find(name)
             if state is State.READY:
-                upstream.moved(address)
+                upstream.use(address)
             else:
-                upstream.close_idle()
+                upstream.leave()
             born = (started * 1000 + self.epoch or 1) if started else 0
             told.append((upstream.index, state, born, weight, cell, self.zones.get(zone, -1), name.encode()))
         self.balancer.listed(clock(), told, full)
-        named = {row[0] for row in told}
-        for upstream in self.yard.upstreams if full else ():
-            if upstream.index not in named:
-                upstream.close_idle()
+        states = {row[0]: row[1] for row in told}
+        for index in tuple(self.yard.upstreams):
+            if states.get(index, State.GONE if full else None) is State.GONE:
+                self.yard.forget(index)
 
     def list_failed(self) -> None:
         self.balancer.list_failed(clock())
--- a/dahliabend/net/routing/upstreams.py
+++ b/dahliabend/net/routing/upstreams.py
@@ -102,6 +102,7 @@
     def __init__(self, yard: "Yard", index: int, name: str) -> None:
         self.yard, self.index, self.name = yard, index, name
         self.address = ("", 0)
+        self.wanted = False  # may connections rest here?
         self.links: set[Link] = set()
         self.resting: list[Link] = []
 
@@ -118,7 +119,9 @@
         return None
 
     def free(self, link: Link) -> None:
-        if not link.closed:
+        if not self.wanted:
+            link.shut()  # nothing more is sent there
+        elif not link.closed:
             self.resting.append(link)
             self.yard.descriptors.rest(link.number, clock())
 
@@ -131,7 +134,13 @@
         while self.resting:
             self.resting.pop().shut()
 
-    def moved(self, address: tuple[str, int]) -> None:
+    def leave(self) -> None:
+        """Nothing more is sent there: it drains, or is gone."""
+        self.wanted = False
+        self.close_idle()
+
+    def use(self, address: tuple[str, int]) -> None:
+        self.wanted = True
         if address != self.address:
             self.address = address
             for link in self.links:
@@ -140,23 +149,32 @@
 
 
 class Yard:
-    """What all upstreams share, and the upstreams themselves, by id and by index."""
+    """What all upstreams share, and the upstreams themselves, by id and by index. An index is never used
+    again: late news of one that has gone finds nothing, and a new one inherits nothing."""
 
     def __init__(
         self, deadlines: Deadlines, descriptors: Descriptors, dial_time: int, rest: int, log: Callable
     ) -> None:
         self.deadlines, self.descriptors, self.dial_time, self.log = deadlines, descriptors, dial_time, log
         self.rest = rest  # for how long an idle connection is used again
-        self.upstreams: list[Upstream] = []
+        self.upstreams: dict[int, Upstream] = {}
         self.indices: dict[str, int] = {}
+        self.next = 0
 
     def find(self, name: str) -> Upstream:
         index = self.indices.get(name)
         if index is None:
-            index = self.indices[name] = len(self.upstreams)
-            self.upstreams.append(Upstream(self, index, name))
+            index = self.indices[name] = self.next
+            self.next += 1
+            self.upstreams[index] = Upstream(self, index, name)
         return self.upstreams[index]
 
+    def forget(self, index: int) -> None:
+        """It has gone. What is still out there keeps its record until it ends."""
+        upstream = self.upstreams.pop(index)
+        del self.indices[upstream.name]
+        upstream.leave()
+
     def sweep(self) -> None:
         """Closes what the other end would close soon: a request written to that would be lost."""
         for link in self.descriptors.rested(clock() - self.rest):
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -83,6 +83,22 @@
     assert {note[2] for note in port.of("send")} == {2}
 
 
+def test_an_upstream_that_has_gone_leaves_nothing_and_late_news_of_it_finds_nobody():
+    for full in (False, True):
+        made, port = balancer(upstreams=2)
+        tx = taken(made, 0)
+        gone = port[-1][2]
+        made.set_aside(made.upstreams[gone], T)
+        rows = [(1 - gone, State.READY, 0, 1.0, 0, 0, b"1"), (gone, State.GONE, 0, 1.0, 0, 0, b"0")]
+        made.listed(T, rows[: 1 if full else 2], full)
+        assert list(made.upstreams) == [1 - gone] and made.out == 0
+        made.probed(T + 9 * S, gone, Outcome.COMMITTED)
+        made.listed(T, [(gone, State.READY, 0, 1.0, 0, 0, b"new")], False)
+        assert not made.upstreams[gone].aside and not made.upstreams[gone].held
+        tx.returned(T + S, 0, Outcome.TIMED_OUT, S, False)
+        assert made.upstreams[gone].entries[-1].tried == 0 and tx.hops[-1].upstream.index == 1 - gone
+
+
 def test_a_list_that_must_be_asked_for_is_and_again_after_a_failure():
     made, port = balancer(ask_for_list=True)
     assert len(port.of("ask_list")) == 1
@@ -152,7 +168,7 @@
 
 def test_governed_share_goes_to_a_heard_zero_metric_upstream_or_is_refused():
     made, port = balancer(upstreams=3)
-    for u, metric in zip(made.upstreams, (1.0, 1.0, 0.0), strict=True):
+    for u, metric in zip(made.upstreams.values(), (1.0, 1.0, 0.0), strict=True):
         u.entries[-1].metric, u.entries[-1].until = metric, T + S
     for ref in range(6):
         taken(made, 0, ref=ref).returned(T, 0, Outcome.COMMITTED, MS, True)
@@ -228,7 +244,7 @@
 
 def test_fast_failures_set_an_upstream_aside():
     made, _ = balancer()
-    for u in made.upstreams[:2]:
+    for u in (made.upstreams[0], made.upstreams[1]):
         u.entries[-1].tried, u.entries[-1].bad = FLOOR, FLOOR * (u.index == 0)
     made.close_window(T + S)
     assert made.upstreams[0].aside and not made.upstreams[1].aside
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,7 +9,7 @@
 
 from helpers import MS, Notes, S
 
-from dahliabend.model import Outcome
+from dahliabend.model import Outcome, State
 from dahliabend.net.protocol.callers import Caller
 from dahliabend.net.protocol.discovery import Book, Discovery
 from dahliabend.net.protocol.upstreams import Link
@@ -77,6 +77,7 @@
 def asked(takes=1 << 30, length=9, kind=Asked):
     """A request out on a connection that takes so many bytes: the request and the link."""
     upstream = yard().find("s-1")
+    upstream.wanted = True
     link = Link(upstream.yard.descriptors, upstream)
     upstream.links.add(link)
     Pipe(link, takes)
@@ -186,6 +187,7 @@
 
 def test_an_idle_connection_near_its_time_is_not_used_again():
     upstream = yard().find("s-1")
+    upstream.wanted = True
     for age, used in ((3 * S, True), (5 * S, False)):
         link = Link(upstream.yard.descriptors, upstream)
         upstream.links.add(link)
@@ -195,14 +197,36 @@
 
 def test_a_new_address_ends_what_rests_at_the_old_one():
     upstream = yard().find("s-1")
-    upstream.moved(("127.0.0.1", 1))
+    upstream.use(("127.0.0.1", 1))
     link, busy = (Link(upstream.yard.descriptors, upstream) for _ in range(2))
     upstream.links |= {link, busy}
     upstream.free(link)
-    upstream.moved(("127.0.0.1", 2))
+    upstream.use(("127.0.0.1", 2))
     assert link.closed and not busy.closed and not busy.keep
 
 
+def test_an_upstream_that_has_gone_gives_its_place_and_its_connections_back():
+    class Told(Notes):
+        def listed(self, now, rows, full):
+            self[:] = [(row[0], row[-1]) for row in rows]
+
+    told, all_of = Told(), yard()
+    desk = SimpleNamespace(yard=all_of, zones={}, epoch=0, balancer=told)
+    row = ("s-1", ("127.0.0.1", 1), State.READY, 0, 1.0, 0, "a")
+    Router.listed(desk, [row], True)
+    upstream = all_of.find("s-1")
+    busy, rests = (Link(all_of.descriptors, upstream) for _ in range(2))
+    upstream.free(rests)
+    Router.listed(desk, [("s-1", ("", 0), State.GONE, *row[3:])], False)
+    upstream.free(busy)  # its answer came later
+    assert rests.closed and busy.closed and not all_of.upstreams and not all_of.indices
+    Router.listed(desk, [("s-2", *row[1:])], True)  # a new one at the same address
+    new = all_of.find("s-2")
+    assert told == [(new.index, b"s-2")] and new.index != upstream.index and not new.resting
+    Router.listed(desk, [row], True)
+    assert list(all_of.indices) == ["s-1"] and all_of.find("s-1") is not upstream
+
+
 def test_without_a_socket_left_a_hop_never_ran_and_the_upstream_is_not_to_blame():
     upstream = yard(limit=26).find("s-1")
     for _ in range(10):
