Resets on idle connections have such connections closed before the next hop

Checked with a trace of how long each hop's connection had idled: under 100 ms 2 of 290 were reset, from 100 to 800 ms 141 of 950, in 0 to 2 ms; no upstream more than another. Ruled out: connections seen to be ended before the request (4), first requests on new ones (7 of 792). At fault: decide.py returned(): only time-outs counted as swallowed, and hops that committed were never counted beside them (done was set before); the idle time was a guess of 0 as soon as another hop was out at the upstream.

--- a/dahliabend/benchlink/host.py
+++ b/dahliabend/benchlink/host.py
@@ -40,7 +40,7 @@
     def probe(self, upstream: int) -> None:
         self.out.append(wire.sound_out(self.number, self.addresses[upstream]))
 
-    def close_idle(self, upstream: int) -> None:
+    def close_idle(self, upstream: int, age: int) -> None:
         self.out.append(wire.hang_up(self.number, self.addresses[upstream]))
 
     def wake(self, at: int, token: int) -> None:
--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -125,14 +125,15 @@
             return not self.out
         return effect is Effect.JOURNALLED and not self.out and now < risk.sent + self.kind.repeat_window
 
-    def returned(self, now: int, number: int, outcome: Outcome, took: int, complete: bool) -> None:
+    def returned(self, now, number: int, outcome: Outcome, took: int, complete: bool, idle=None) -> None:
         hop = self.hops[number]
+        hop.idle = hop.idle if idle is None else idle  # of its connection, where the driver can tell
         hop.may_have_run = not outcome.proves_unrun
         self.out -= 1
-        self.done = self.done or complete
         if hop.idle and not self.done:
             unheard = outcome in (Outcome.TIMED_OUT, Outcome.CANCELLED) and now - hop.upstream.heard >= took
-            self.home.learn_rested(hop.idle, unheard)
+            self.home.learn_rested(hop.idle, round(UNWELL / STEP) if outcome is Outcome.RESET else unheard)
+        self.done = self.done or complete
         self.home.learn(now, self, hop.upstream, outcome, took)
         if not self.done and not self.out:
             self.home.resend(self, now, outcome)
@@ -167,12 +168,11 @@
         self.upstreams: dict[int, Upstream] = {}  # those listed, by index
         self.ready, self.near, self.using = [], [], []  # the highest ranks first
         self.number, self.reach, self.most = s.number, 1 << 30, 1  # upstreams in use, and ever ready at once
-        self.rested, self.gap = Entry(), 0.0  # hops on idle connections; how long the silent ones idled
-        self.tier, self.out = Entry(), 0  # hops in flight, but for those at upstreams set aside
+        self.tier, self.rested, self.gap = Entry(), Entry(), 0.0
         self.hints, self.usual = [0.0] * len(s.profiles), [0.0] * len(s.profiles)  # means by profile
         self.took = self.stretch = self.low = self.mean_value = self.mean_hint = 0.0  # over all
-        # The crowd let in, the mean that arrivals find, and the mean that was served well.
-        self.ceiling, self.crowd, self.borne, self.others = 0.0, 0.0, 0.0, 1 - 1 / s.balancers
+        # Hops in flight, but for those at upstreams set aside; how many are let in, found, were served well.
+        self.out, self.ceiling, self.crowd, self.borne, self.others = 0, 0.0, 0.0, 0.0, 1 - 1 / s.balancers
         self.weighed = self.served = self.last_heard = self.beats = self.sent = self.first_tries = 0
         self.held_back = self.pressed = self.awake = False
         self.send_rate, self.credit = 0.0, 1.0  # hops a microsecond; retries to spend
@@ -327,8 +327,8 @@
         u.budget -= 1
         hop = Hop(u, now)
         u.heard = u.heard if u.held else now
-        if hop.idle >= self.gap / 2 and hop.idle and self.rested.share(now) >= UNWELL:
-            self.port.close_idle(u.index)
+        if self.rested.share(now) >= UNWELL and (u.held or hop.idle >= self.gap / 2):
+            self.port.close_idle(u.index, round(self.gap / 2))
             hop.idle = 0  # tells nothing of idle connections any more
         u.held[tx] = hop
         u.load += tx.cost
@@ -358,12 +358,12 @@
         if self.may_cancel and tx.out and tx in tx.hops[-1].upstream.held:
             self.port.cancel(tx.ref, len(tx.hops) - 1)
 
-    def learn_rested(self, idle: int, unheard: bool) -> None:
+    def learn_rested(self, idle: int, lost: int) -> None:
         """Idle connections may die unseen and swallow the next hop: past half that gap they are closed."""
-        self.gap = blend(self.gap, idle) if unheard else self.gap
-        if unheard or self.gap and idle >= self.gap / 2:
-            self.rested.tried += 1
-            self.rested.bad += unheard
+        self.gap = blend(self.gap, idle, RECENT) if lost else self.gap
+        if lost or self.gap and idle >= self.gap / 2:
+            self.rested.tried += lost or 1
+            self.rested.bad += lost
 
     def learn(self, now: int, tx: Transaction, u: Upstream, outcome: Outcome, took: int) -> None:
         u.held.pop(tx, None)
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -152,8 +152,8 @@
     def probe(self, upstream: int) -> None:
         Probe(self.yard.upstreams[upstream], self.report_fields, self.probe_time, self.probed).start()
 
-    def close_idle(self, upstream: int) -> None:
-        self.yard.upstreams[upstream].close_idle()
+    def close_idle(self, upstream: int, age: int) -> None:
+        self.yard.upstreams[upstream].close_idle(clock() - age)
 
     def wake(self, at: int, token: int) -> None:
         self.deadlines.at(at, self.woken, token)
@@ -175,7 +175,7 @@
                      outcome=outcome.name, ms=took // 1000, why=hop.why)  # fmt: skip
         else:
             self.answer(ticket.number, "committed", 200, *answer[:2])
-        ticket.handle.returned(clock(), hop.order, outcome, took, ticket.answered)
+        ticket.handle.returned(clock(), hop.order, outcome, took, ticket.answered, hop.rested)
         self.drop_if_over(ticket)
 
     def answer(self, ref: int, how: str, status: int, headers: bytes, body: bytes) -> None:
--- a/dahliabend/net/routing/upstreams.py
+++ b/dahliabend/net/routing/upstreams.py
@@ -17,7 +17,7 @@
         self.upstream, self.head, self.body, self.sent = upstream, head, body, clock()
         self.link: Link | None = None
         self.dialing: asyncio.Task | None = None
-        self.over, self.why = False, ""
+        self.over, self.why, self.rested = False, "", 0  # `rested`: how long its connection had been idle
         self.until = self.sent + timeout
         self.deadline: list | None = None
 
@@ -27,7 +27,7 @@
     def start(self) -> None:
         yard = self.upstream.yard
         self.deadline = yard.deadlines.at(self.until, self.timed_out)
-        self.link = self.upstream.rested(self.sent)
+        self.link, self.rested = self.upstream.rested(self.sent)
         if self.link is not None:
             self.link.ask(self, self.head, self.body)
         elif yard.descriptors.full(self.sent):
@@ -106,17 +106,17 @@
         self.links: set[Link] = set()
         self.resting: list[Link] = []
 
-    def rested(self, now: int) -> Link | None:
-        """A connection at rest, if one is surely still open at the other end."""
+    def rested(self, now: int) -> tuple[Link | None, int]:
+        """A connection at rest, if one is surely still open at the other end, and for how long it was."""
         while self.resting:
             link = self.resting.pop()
-            since = self.yard.descriptors.idle.get(link.number, 0)
+            idle = now - self.yard.descriptors.idle.get(link.number, 0)
             # Bytes that nobody asked for, read after the next request, would pass for its answer.
-            if not link.closed and now - since < self.yard.rest and link.waiting() is None:
+            if not link.closed and idle < self.yard.rest and link.waiting() is None:
                 self.yard.descriptors.busy(link.number)
-                return link
+                return link, idle
             link.shut()
-        return None
+        return None, 0
 
     def free(self, link: Link) -> None:
         if not self.wanted:
@@ -130,14 +130,16 @@
         if link in self.resting:
             self.resting.remove(link)
 
-    def close_idle(self) -> None:
-        while self.resting:
-            self.resting.pop().shut()
+    def close_idle(self, since: int) -> None:
+        """Those idle since before then; the longest idle come first."""
+        idle = self.yard.descriptors.idle
+        while self.resting and idle.get(self.resting[0].number, 0) <= since:
+            self.resting.pop(0).shut()
 
     def leave(self) -> None:
         """Nothing more is sent there: it drains, or is gone."""
         self.wanted = False
-        self.close_idle()
+        self.close_idle(clock())
 
     def use(self, address: tuple[str, int]) -> None:
         self.wanted = True
@@ -145,7 +147,7 @@
             self.address = address
             for link in self.links:
                 link.keep = False  # it leads to the old place: finished there, not used again
-            self.close_idle()
+            self.close_idle(clock())
 
 
 class Yard:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -342,6 +342,21 @@
         assert len(port.of("close_idle")) == closed
 
 
+def test_a_few_resets_on_idle_connections_tell_as_much_as_many_time_outs():
+    for resets, closed in ((0, 0), (1, 0), (2, 1)):
+        made, port = balancer(upstreams=1)
+        made.ceiling = 1e9
+        for n in range(TIER_FLOOR):
+            outcome = Outcome.RESET if n < resets else Outcome.ERROR
+            taken(made, 2, ref=n).returned(T, 0, outcome, MS, False, S)  # the driver tells that it had idled
+        made.close_window(T + S)
+        made.bring_back(made.upstreams[0], T)
+        made.upstreams[0].entries[2].metric = made.tier.metric = 0.0
+        for ref in (98, 99):  # the first finds the upstream just used, the second with others out
+            taken(made, 2, ref=ref)
+        assert [note[1:] for note in port.of("close_idle")] == [(0, S // 2)] * closed
+
+
 def test_heavy_transactions_are_waited_for_by_their_hint():
     made, _ = balancer()
     made.usual[0], made.hints[0], made.mean_hint = 400 * MS, 100 * MS, 100 * MS
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -127,7 +127,7 @@
     feed(link, b"HTTP/1.1 100 Continue\r\n\r\n" + ONE)
     assert errand.outcome is Outcome.COMMITTED and not link.closed
     feed(link, b"H")
-    assert link.closed and errand.upstream.rested(clock()) is None
+    assert link.closed and errand.upstream.rested(clock())[0] is None
 
 
 ONE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -157,7 +157,7 @@
             near.setblocking(False)
             link.sock = near
             far.send(late) if late else far.close()
-            assert errand.upstream.rested(clock()) is None and link.closed
+            assert errand.upstream.rested(clock())[0] is None and link.closed
 
 
 def test_an_answer_that_cannot_be_read_fails_its_hop_at_once():
@@ -177,7 +177,7 @@
     errand, link = asked()
     old = link.number
     feed(link, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
-    errand.upstream.close_idle()
+    errand.upstream.close_idle(clock())
     link.connection_lost(None)
     table = errand.upstream.yard.descriptors
     new = Link(table, errand.upstream)
@@ -192,7 +192,18 @@
         link = Link(upstream.yard.descriptors, upstream)
         upstream.links.add(link)
         upstream.free(link)
-        assert (upstream.rested(clock() + age) is link) == used
+        assert (upstream.rested(clock() + age)[0] is link) == used
+
+
+def test_only_connections_idle_for_longer_are_closed():
+    upstream = yard().find("s-1")
+    upstream.wanted = True
+    old, new = (Link(upstream.yard.descriptors, upstream) for _ in range(2))
+    for link in (old, new):
+        upstream.free(link)
+    upstream.yard.descriptors.idle[old.number] -= S
+    upstream.close_idle(clock() - S // 2)
+    assert old.closed and not new.closed and 0 <= upstream.rested(clock())[1] < S
 
 
 def test_a_new_address_ends_what_rests_at_the_old_one():
