Only resets within a twentieth of the usual time tell of lost idle connections

Tried: a quarter of the usual time, which takes in the quick part of spoilt answers; a twentieth, as the lost ones came back within 0 to 2 ms.

--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -128,11 +128,11 @@
     def returned(self, now, number: int, outcome: Outcome, took: int, complete: bool, idle=None) -> None:
         hop = self.hops[number]
         hop.idle = hop.idle if idle is None else idle  # of its connection, where the driver can tell
-        hop.may_have_run = not outcome.proves_unrun
-        self.out -= 1
+        hop.may_have_run, self.out = not outcome.proves_unrun, self.out - 1
         if hop.idle and not self.done:
             unheard = outcome in (Outcome.TIMED_OUT, Outcome.CANCELLED) and now - hop.upstream.heard >= took
-            self.home.learn_rested(hop.idle, round(UNWELL / STEP) if outcome is Outcome.RESET else unheard)
+            cut = outcome is Outcome.RESET and took < self.home.usual[self.profile] * STEP
+            self.home.learn_rested(hop.idle, round(UNWELL / STEP) if cut else unheard)
         self.done = self.done or complete
         self.home.learn(now, self, hop.upstream, outcome, took)
         if not self.done and not self.out:
