A watch that does not begin or misses a beat is soon opened again

A trace: a watch that works begins within 10 ms of asking and has an empty line every 2.0 s. Ruled out: versions passed over; lists slow to come. At fault: protocol/discovery.py: SILENT, 4.5 s, also for a watch just asked for; two dead ones in a row outlast the 6 s and the grace. Now 0.5 s to begin and 2.25 s between bytes.

--- a/dahliabend/net/protocol/discovery.py
+++ b/dahliabend/net/protocol/discovery.py
@@ -14,8 +14,8 @@
 from dahliabend.net.transport.descriptors import Descriptors
 
 BEAT = 2_000_000  # an empty line comes that often while nothing changes
-SILENT = BEAT * 9 // 4  # nothing for longer: the watch is dead, and changes are missed
-SOON = BEAT // 4  # an answer that has not come by then is not waited for at the start
+SILENT = BEAT * 9 // 8  # nothing for longer: the watch is dead, and changes are missed
+SOON = BEAT // 4  # a watch begins at once: one that has not by then is dead too
 FIRST, LONGEST = BEAT // 20, BEAT // 2  # what is waited before a watch is opened again
 MOST_LINE = 8 * 1024 * 1024
 
@@ -162,7 +162,12 @@
             await dial(self.deadlines.loop, self.address, watch)
         except (OSError, asyncio.CancelledError):
             return self.ended(watch)
-        self.expect(SILENT)
+        self.begin(watch)
+
+    def begin(self, watch: Watch) -> None:
+        # Asked while the list service was down it stays silent: waited for as long as for a beat, it would
+        # hide a drain told to others meanwhile.
+        self.expect(SOON)
         watch.ask(f"{self.address[0]}:{self.address[1]}")
 
     def expect(self, within: int) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -362,6 +362,16 @@
     assert moving.watch is new and moving.again is None
 
 
+def test_a_watch_that_does_not_begin_or_misses_a_beat_is_soon_held_dead():
+    _, asking = discovery()
+    asking.open()
+    Pipe(asking.watch)
+    asking.begin(asking.watch)
+    assert asking.silence[0] <= clock() + S // 2
+    feed(asking.watch, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    assert clock() + 2 * S < asking.silence[0] < clock() + 3 * S - S // 2
+
+
 def test_a_silent_watch_is_opened_again_ever_later_and_the_reader_is_told():
     (notes, silent), waits = discovery(), []
     for _ in range(9):
