--- a/dahliabend/net/protocol/loads.py
+++ b/dahliabend/net/protocol/loads.py
@@ -1,10 +1,12 @@
 """Load reports, as answers and probes carry them."""
 
+from math import isfinite
+
 
 def read(text: bytes, fields: tuple[str, ...]) -> dict[str, float]:
-    """The named figures of a report; what is not named, or no number, is passed over.
+    """The named figures of a report; what is not named, or no finite number, is passed over.
 
-    >>> read(b"TEXT inflight=7, queue=x, util=0.61, more", ("inflight", "queue", "util"))
+    >>> read(b"TEXT inflight=7, queue=x, util=0.61, eps=nan, qps=-inf", ("inflight", "queue", "util", "eps", "qps"))
     {'inflight': 7.0, 'util': 0.61}
     """
     figures = {}
@@ -12,7 +14,9 @@
         name, _, value = part.strip().partition("=")
         if name in fields:
             try:
-                figures[name] = float(value)
+                figure = float(value)
             except ValueError:
                 continue
+            if isfinite(figure):  # one that is not would spoil every mean it went into
+                figures[name] = figure
     return figures
