Callers: what a request owes is set in one place

Read-through of the change: connection_made() and serve() set the same slow mark and the same deadline, from different starting points. No behaviour changes; all tests pass as they were.

--- a/dahliabend/net/protocol/callers.py
+++ b/dahliabend/net/protocol/callers.py
@@ -55,8 +55,12 @@
         # A fresh connection was opened for a request that may be here already: it is not idle, whatever the
         # budget; closed now, that request would be lost.
         self.since = clock()
-        self.descriptors.owes(self.number, self.since + SEND // SLOW)
-        self.stalled = self.deadlines.at(self.since + SEND, self.too_slow)
+        self.expect(self.since)
+
+    def expect(self, since: int) -> None:
+        """The rest of a request is owed, counted from then."""
+        self.descriptors.owes(self.number, since + SEND // SLOW)
+        self.stalled = self.deadlines.at(since + SEND, self.too_slow)
 
     # What the parser tells.
 
@@ -142,9 +146,7 @@
             self.serving, self.keep = True, False
             self.refuse(self.fault)
         elif self.began and not self.serving and (self.stalled is None or self.stalled[2] is None):
-            # Half a request: a trickle would hold its descriptor for ever.
-            self.descriptors.owes(self.number, self.began + SEND // SLOW)
-            self.stalled = self.deadlines.at(self.began + SEND, self.too_slow)
+            self.expect(self.began)  # half a request: a trickle would hold its descriptor for ever
 
     def start(self, began, method, target, fields, passed, body, keep) -> None:
         self.keep = keep
