Small sets from the start, a held share across zones, windows by own rate

Lines at fault: `choose` gave up the set and the zone for everything at once when the mean hop time of all passed 3/2 of the least, which chance does at 2 to 5 hops a second; until its first window each balancer used all upstreams; the crowd was an equal part, 0.5 hops a balancer; validity 0.5 s, in which 2 hops come.

--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -26,13 +26,13 @@
 SKIP = 5 / 4  # of the mean in flight: an upstream above it is skipped
 SLOW = 3 / 2  # of the usual time: the most by which a slow upstream's hops tell less of the crowd
 SILENT = 4  # of the tier's usual time, with hops out and nothing heard: the upstream is set aside
-PATIENCE = 4  # of a profile's usual time, or half its goal: a hop that may be repeated waits no longer
+PATIENCE = 8  # of a profile's usual time, or half its goal: a hop that may be repeated waits no longer
 UNWELL = 2 / 5  # a metric at which an upstream is set aside, where the tier holds less than half of that
 RETRIES, SAVED = 1 / 10, 10  # of first hops: what may be spent on hops after one that may have run, and kept
 ADVICE = 1 / 4  # of the service goal: when a client rolled back is told to come back
 MEMORY = 1 / 16  # weight of the newest sample in a running mean
 RECENT = 1 / 6  # the same for the pace of an upstream, which gets few hops
-SET = 5  # upstreams in use at the least
+SET = 2  # upstreams in use at the least, of each side of a zone border that costs
 FORGET = 1 / 1024  # by which the least hop time seen creeps up at each look
 
 
@@ -54,16 +54,16 @@
         """The metric while it is valid."""
         return self.metric if now < self.until else 0.0
 
-    def close(self, now: int, floor: int, validity: int) -> None:
+    def close(self, now: int, floor: int, validity: int, rise: float = 1.0) -> None:
         if now >= self.until:
             self.metric = 0.0  # lapsed unrenewed
         if self.tried < floor and now - self.opened < validity:
             return  # the window stays open: a quiet balancer reaches the floor later, not never
         if self.tried:  # an empty window neither replaces nor renews
-            seen = self.bad / self.tried if self.tried >= floor else 0.0
+            seen = max(0.0, self.bad / self.tried) if self.tried >= floor else 0.0
             # Throttling thins the traffic read here: a share dropped at the first clean window would let the
             # load return in waves, so it is eased.
-            new = max(seen, self.metric * EASE)
+            new = max(seen * rise + self.metric * (1 - rise), self.metric * EASE)
             if abs(new - self.metric) >= STEP or not seen and now - self.replaced >= LINGER * validity:
                 self.metric = new if new >= STEP else 0.0
                 self.replaced = now
@@ -153,12 +153,13 @@
         self.profiles, self.most_hops, self.zone = s.profiles, s.most_hops, s.zone
         self.may_cancel, self.may_probe = s.may_cancel, s.may_probe
         self.entrance = s.tier == 0  # calls of the tiers behind are work already paid for
-        self.near_first, self.excess = s.cross_zone_fee > 0, s.excess_share
+        self.fee, self.excess = s.cross_zone_fee, s.excess_share
         self.advice = s.longest_advice if s.advises else 0
         self.ask_again = s.ask_within // 8 if s.ask_for_list else 0
         self.cold_from, self.cold_time, self.cold_excess = s.cold_share, s.cold_time, s.cold_multiple / 2
         self.beat = max(1000, round(min(p.service_goal for p in s.profiles) * BEAT))
-        self.window, self.validity = self.beat * WINDOW, round(self.beat * WINDOW * VALIDITY)
+        self.window = self.beat * WINDOW
+        self.span = self.validity = round(self.window * VALIDITY)  # the least, and as long as the floor needs
         top = max(p.revenue for p in s.profiles) or 1.0
         # Revenue decides the less, the more the worst-served profile weighs beside the whole.
         bias = s.whole_weight / ((s.whole_weight + s.class_weight) or 1.0)
@@ -166,9 +167,10 @@
         self.rates = [(a or 1e12) / s.balancers / 1e6 for a in s.allowances]  # its part of each share
         self.spare = [(rate * self.window, 0) for rate in self.rates]
         self.upstreams: dict[int, Upstream] = {}  # those listed, by index
-        self.ready, self.near, self.using = [], [], []  # the highest ranks first
-        self.number, self.reach, self.most = s.number, 1 << 30, 1  # upstreams in use, and ever ready at once
-        self.tier, self.rested, self.gap = Entry(), Entry(), 0.0
+        self.ready, self.near, self.far = [], [], []  # the highest ranks first; far: where crossing costs
+        self.using, self.abroad = [], []  # the sets in use of near and of far ones
+        self.number, self.reach, self.most = s.number, 0, 1  # upstreams in use, and ever ready at once
+        self.tier, self.home, self.rested, self.gap = Entry(), Entry(), Entry(), 0.0
         self.hints, self.usual = [0.0] * len(s.profiles), [0.0] * len(s.profiles)  # means by profile
         self.took = self.stretch = self.low = self.mean_value = self.mean_hint = 0.0  # over all
         # Hops in flight, but for those at upstreams set aside; how many are let in, found, were served well.
@@ -198,14 +200,19 @@
             self.upstreams.pop(index).state = State.GONE  # hops still out keep the record until they end
         ready = (u for u in self.upstreams.values() if u.state is State.READY)
         self.ready = sorted(ready, key=lambda u: u.rank, reverse=True)
-        self.near = [u for u in self.ready if u.zone == self.zone] if self.near_first else self.ready
+        self.near = [u for u in self.ready if not self.fee or u.zone == self.zone]
+        self.far = [u for u in self.ready if self.fee and u.zone != self.zone]
         self.most = max(self.most, len(self.ready))
-        self.ceiling = self.ceiling or START * len(self.ready) / self.balancers
+        self.ceiling = self.ceiling or START * max(1.0, len(self.ready) / self.balancers)
+        # Connections opened to all by very many balancers at once would leave none for most of them.
+        self.reach = self.reach or max(SET, self.most if self.most >= self.balancers else 0)
         self.narrow()
 
     def narrow(self) -> None:
         """The set in use: the highest ranks, as many as this balancer's few hops can tell of."""
-        self.using = [u for u in self.near if not u.aside][: self.reach if self.number >= 0 else None]
+        reach = self.reach if self.number >= 0 else None
+        self.using = [u for u in self.near if not u.aside][:reach]
+        self.abroad = [u for u in self.far if not u.aside][:reach]
 
     def list_failed(self, now: int) -> None:
         if self.ask_again:  # after a while, at random: a registry that failed under load is not stormed
@@ -278,11 +285,11 @@
         """Smooth weighted rotation over those not far above the mean in flight, the near ones first."""
         risk = tx.risk() if tx.kind.effect is Effect.JOURNALLED else None
         used = [hop.upstream for hop in tx.hops]
-        # Crossing zones is priced; it is worth it once the near ones take long, or none of them can be had.
-        pools = [(self.ready, True), (self.ready, False)]
-        if self.near is self.ready or self.stretch <= SLOW * self.low:
-            pools = [(self.using, True), (self.near, True), *pools]
-        for pool, careful in pools:
+        # Crossing zones is priced: it is for the share that the near ones serve too badly, or for want of them.
+        first, second = self.using, self.abroad
+        if self.abroad and self.chance() < self.home.share(now):
+            first, second = second, first
+        for pool, careful in (first, True), (second, True), (self.ready, True), (self.ready, False):
             weights = loads = total = 0.0
             for u in pool:
                 if not u.aside:
@@ -374,9 +381,10 @@
         if outcome in (Outcome.COMMITTED, Outcome.ERROR, Outcome.FULL):
             u.heard = u.answered = self.last_heard = now
         bad = outcome is not Outcome.COMMITTED  # quick failures too: an upstream failing fast draws load
+        usual = self.usual[tx.profile]
+        if usual and outcome in (Outcome.COMMITTED, Outcome.TIMED_OUT):
+            u.pace = blend(u.pace, min(took / usual, SAVED), RECENT)
         if not bad:
-            usual = self.usual[tx.profile]
-            u.pace = blend(u.pace, min(took / usual, SAVED), RECENT) if usual else u.pace
             self.usual[tx.profile] = blend(usual, took)
             self.took = blend(self.took, took)
             self.served, u.strikes = self.served + 1, 0
@@ -387,6 +395,9 @@
         for entry in (u.entries[tx.profile], u.entries[-1]):
             entry.tried += 1
             entry.bad += bad
+        if self.fee and u.zone == self.zone:
+            self.home.tried += 1
+            self.home.bad += (bad or took > LATE * tx.kind.service_goal) - self.fee
         # One slow or costly hop says nothing of the tier: time-outs count only while hops take long.
         self.tier.tried += 1
         self.tier.bad += bad and (self.pressed or outcome.proves_unrun)
@@ -445,7 +456,7 @@
         change = max(min(TARGET, ROOM[1] * self.low), ROOM[0] * self.low) / self.stretch
         self.pressed = change < 1
         if self.pressed:
-            self.ceiling = max(SHRINK, change) * min(self.ceiling, self.out)
+            self.ceiling = max(SHRINK, change) * min(self.ceiling, max(self.out, self.crowd))
         else:
             self.borne = blend(self.borne, self.out)
             if self.held_back:
@@ -455,6 +466,7 @@
 
     def close_window(self, now: int) -> None:
         self.tier.close(now, TIER_FLOOR, self.validity)
+        self.home.close(now, FLOOR, self.validity, EASE)
         self.rested.close(now, TIER_FLOOR, LINGER * self.validity)
         some_warm = False
         for u in self.ready:
@@ -469,7 +481,10 @@
         self.send_rate += (seen - self.send_rate) / 4 if self.send_rate else seen
         self.sent = self.first_tries = 0
         # All are used if each is come to within a validity; if not, a set of which each reaches the floor.
-        hops = self.send_rate * self.validity
+        hops = self.send_rate * self.span
+        self.validity = round(
+            VALIDITY * max(self.window, TIER_FLOOR / self.send_rate if self.send_rate else 0)
+        )
         reach = self.most if hops >= self.most else max(SET, round(hops / FLOOR))
         if abs(reach - self.reach) > self.reach / 4:
             self.reach = reach
