The share that crosses zones adds up; one hop tells of a crowd no more than its goal

Lines: `Entry.close`, `learn`. A costly hop weighed up to its limit in the mean hop time, by chance a crowd.

--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -54,16 +54,16 @@
         """The metric while it is valid."""
         return self.metric if now < self.until else 0.0
 
-    def close(self, now: int, floor: int, validity: int, rise: float = 1.0) -> None:
+    def close(self, now: int, floor: int, validity: int, adds: bool = False) -> None:
         if now >= self.until:
             self.metric = 0.0  # lapsed unrenewed
         if self.tried < floor and now - self.opened < validity:
             return  # the window stays open: a quiet balancer reaches the floor later, not never
         if self.tried:  # an empty window neither replaces nor renews
-            seen = max(0.0, self.bad / self.tried) if self.tried >= floor else 0.0
+            seen = self.bad / self.tried if self.tried >= floor else 0.0
             # Throttling thins the traffic read here: a share dropped at the first clean window would let the
             # load return in waves, so it is eased.
-            new = max(seen * rise + self.metric * (1 - rise), self.metric * EASE)
+            new = max(min(1.0, self.metric + seen * EASE) if adds else seen, self.metric * EASE)
             if abs(new - self.metric) >= STEP or not seen and now - self.replaced >= LINGER * validity:
                 self.metric = new if new >= STEP else 0.0
                 self.replaced = now
@@ -285,7 +285,7 @@
         """Smooth weighted rotation over those not far above the mean in flight, the near ones first."""
         risk = tx.risk() if tx.kind.effect is Effect.JOURNALLED else None
         used = [hop.upstream for hop in tx.hops]
-        # Crossing zones is priced: it is for the share that the near ones serve too badly, or for want of them.
+        # Crossing zones is priced: for the share that the near ones serve too badly, or for want of them.
         first, second = self.using, self.abroad
         if self.abroad and self.chance() < self.home.share(now):
             first, second = second, first
@@ -390,14 +390,16 @@
             self.served, u.strikes = self.served + 1, 0
         # One slow or silent upstream is hardly a crowd, and throttling the tier would not mend it.
         if outcome in (Outcome.COMMITTED, Outcome.TIMED_OUT) and u.heard > now - took:
-            self.stretch = blend(self.stretch, took / tx.kind.service_goal / max(1.0, min(u.pace, SLOW)))
+            self.stretch = blend(
+                self.stretch, min(1.0, took / tx.kind.service_goal) / max(1.0, min(u.pace, SLOW))
+            )
         bad = bad or self.pressed and took > LATE * tx.kind.service_goal
         for entry in (u.entries[tx.profile], u.entries[-1]):
             entry.tried += 1
             entry.bad += bad
         if self.fee and u.zone == self.zone:
             self.home.tried += 1
-            self.home.bad += (bad or took > LATE * tx.kind.service_goal) - self.fee
+            self.home.bad += (bad or took > LATE * tx.kind.service_goal) - self.fee * EASE
         # One slow or costly hop says nothing of the tier: time-outs count only while hops take long.
         self.tier.tried += 1
         self.tier.bad += bad and (self.pressed or outcome.proves_unrun)
@@ -466,7 +468,7 @@
 
     def close_window(self, now: int) -> None:
         self.tier.close(now, TIER_FLOOR, self.validity)
-        self.home.close(now, FLOOR, self.validity, EASE)
+        self.home.close(now, FLOOR, self.validity, adds=True)
         self.rested.close(now, TIER_FLOOR, LINGER * self.validity)
         some_warm = False
         for u in self.ready:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -400,7 +400,7 @@
 
 
 def home_share(outcome, took, hops=FLOOR, fee=0.1):
-    """The share held against near upstreams where that many hops ended so, and the part of hops that cross."""
+    """The share held against near upstreams once that many hops ended so, and the part that crosses."""
     made, port = balancer(cross_zone_fee=fee)
     for ref in range(hops):
         taken(made, 2, ref=ref).returned(T, 0, outcome, took, True)
