--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -390,9 +390,9 @@
             self.served, u.strikes = self.served + 1, 0
         # One slow or silent upstream is hardly a crowd, and throttling the tier would not mend it.
         if outcome in (Outcome.COMMITTED, Outcome.TIMED_OUT) and u.heard > now - took:
-            self.stretch = blend(
-                self.stretch, min(1.0, took / tx.kind.service_goal) / max(1.0, min(u.pace, SLOW))
-            )
+            # Nor is one costly hop among few: none tells of more than its whole goal.
+            slowness = min(1.0, took / tx.kind.service_goal) / max(1.0, min(u.pace, SLOW))
+            self.stretch = blend(self.stretch, slowness)
         bad = bad or self.pressed and took > LATE * tx.kind.service_goal
         for entry in (u.entries[tx.profile], u.entries[-1]):
             entry.tried += 1
@@ -447,11 +447,17 @@
                 for tx, hop in tuple(u.held.items()):
                     if not tx.done and self.may_follow(tx) and now - hop.sent >= self.patience(tx):
                         self.call_off(tx)
-        if self.served >= TIER_FLOOR and now - self.weighed >= max(self.window // 2, 2 * self.took):
+        looked = now - self.weighed
+        enough = self.floor(looked) if self.weighed else TIER_FLOOR  # a full one for the first look
+        if self.served >= enough and looked >= max(self.window // 2, 2 * self.took):
             self.weigh_crowd(now)
         if self.beats % WINDOW == 0:
             self.close_window(now)
 
+    def floor(self, since: int) -> int:
+        """Half the tier's floor does for a balancer that has waited long for it: a crowd would not wait."""
+        return TIER_FLOOR if since < self.span else TIER_FLOOR // 2
+
     def weigh_crowd(self, now: int) -> None:
         """Sets the crowd let in by how long hops take; a change shows only after a hop's time or two."""
         self.low = min(self.stretch, self.low * (1 + FORGET)) if self.low else self.stretch
@@ -467,7 +473,7 @@
         self.served, self.held_back, self.weighed = 0, False, now
 
     def close_window(self, now: int) -> None:
-        self.tier.close(now, TIER_FLOOR, self.validity)
+        self.tier.close(now, self.floor(now - self.tier.opened), self.validity)
         self.home.close(now, FLOOR, self.validity, adds=True)
         self.rested.close(now, TIER_FLOOR, LINGER * self.validity)
         some_warm = False
