SIGHUP with other settings hands over to fresh decisions; what is in hand ends as it began

Until now only `discovery` and `log` changed while running; a move to another shape wanted a restart, with all that is known of the upstreams lost. Now other `settings` make a fresh set of decisions (`routing/router.py`: Seat): it takes what comes from then on, the one before ends its transactions on the handles they have, and list changes reach both. `Balancer.follow` says what carries: pace, silence, set-aside with its strikes, turn and cold budget of an upstream that has not started again, usual hop times of profiles of the same name, the gap of idle connections. The crowd, all entries, rates, sets and the retry credit start afresh: they hang on goals, limits and the number of balancers. The cold budget moves over, so that there are never two. New keys checked: caps.max-streams, caps.may-tell (allowed but not used on sockets: logged as `unmet`), and the ranges of fees.cross-zone and balancers; without them all is as before. Tests on loopback: switch under traffic, back again, a faulty file, a profile dropped with transactions in hand, a drain told to both.

--- a/dahliabend/config.py
+++ b/dahliabend/config.py
@@ -43,6 +43,8 @@
     conn_idle: float = 15_000.0
     dial_timeout: float = 250.0
     most_held: int = 20_000
+    max_streams: int = 1
+    may_tell: bool = False
 
 
 class _Report(_Wire):
@@ -123,6 +125,8 @@
     probe_time: int
     most_held: int
     report_fields: tuple[str, ...]  # that probes bring
+    unmet: tuple[str, ...]  # settings that allow what this program does not do
+    terms: tuple  # what the decisions and their port go by: where it differs, they are made anew
     epoch: int  # added to Unix time in microseconds it gives monotonic time
 
 
@@ -179,6 +183,12 @@
         seed = int(node.seed or "0", 16)
     except ValueError:
         raise ValueError(f"seed: {node.seed!r} is no hexadecimal number") from None
+    profiles = {name.encode(): index for index, name in enumerate(names)}
+    customers = {t.name.encode(): index for index, t in enumerate(conf.tenants)}
+    zones = {name: index for index, name in enumerate(conf.localities)}
+    unmet = {"caps.max-streams": conf.caps.max_streams > 1, "caps.may-tell": conf.caps.may_tell}
+    slack, dial, idle = us(conf.contract.answer_slack), us(conf.caps.dial_timeout), us(conf.caps.conn_idle)
+    fields = tuple(conf.report.fields) if conf.report.source == "on_probe" else ()
     return Node(
         name=environment.get("PROXY_NAME") or node.name or "dahliabend",
         listen=_address("listen", environment.get("PROXY_LISTEN") or node.listen),
@@ -188,16 +198,18 @@
         known=node.known,
         verbose=node.log == "debug",
         settings=settings,
-        profiles={name.encode(): index for index, name in enumerate(names)},
-        customers={t.name.encode(): index for index, t in enumerate(conf.tenants)},
-        zones={name: index for index, name in enumerate(conf.localities)},
+        profiles=profiles,
+        customers=customers,
+        zones=zones,
         longest=tuple(p.hard_limit for p in settings.profiles),
-        slack=us(conf.contract.answer_slack),
-        dial_time=us(conf.caps.dial_timeout),
-        rest=round(us(conf.caps.conn_idle) * REST),
-        probe_time=2 * us(conf.caps.dial_timeout),
+        slack=slack,
+        dial_time=dial,
+        rest=round(idle * REST),
+        probe_time=2 * dial,
         most_held=conf.caps.most_held,
-        report_fields=tuple(conf.report.fields) if conf.report.source == "on_probe" else (),
+        report_fields=fields,
+        unmet=tuple(key for key, asked in unmet.items() if asked),
+        terms=(settings, profiles, customers, zones, slack, dial, idle, fields),
         epoch=time.monotonic_ns() // 1000 - time.time_ns() // 1000,
     )
 
@@ -243,6 +255,9 @@
     if not -1 <= conf.self_index < max(1, conf.balancers):
         raise ValueError(f"{above}self-index: {conf.self_index} is not one of {conf.balancers} balancers")
     _within(f"{above}caps.most-hops", caps.most_hops, 1, 1 << 16)
+    _within(f"{above}caps.max-streams", caps.max_streams, 1, 1 << 16)
+    _within(f"{above}fees.cross-zone", conf.fees.cross_zone, 0, 1e6)
+    _within(f"{above}balancers", conf.balancers, 0, 1 << 20)
     profiles = []
     for number, p in enumerate(conf.profiles):
         if p.semantics not in _EFFECTS:
--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -208,6 +208,25 @@
         self.reach = self.reach or max(SET, self.most if self.most >= self.balancers else 0)
         self.narrow()
 
+    def follow(self, before: "Balancer", same: list[tuple[int, int]]) -> int:
+        """Takes over from decisions under other settings; `same` pairs their profiles. Returns of how
+        many upstreams what is known holds on. What hangs on goals, limits or sizes starts afresh."""
+        for profile, was in same:
+            self.usual[profile] = before.usual[was]
+        self.gap, kept = before.gap, 0
+        for index, u in self.upstreams.items():
+            known = before.upstreams.get(index)
+            if known is None or known.born != u.born:
+                continue
+            kept += 1
+            u.pace, u.heard, u.answered, u.turn = known.pace, known.heard, known.answered, known.turn
+            # All balancers that move at once would rush to the upstreams that each had set aside.
+            u.aside, u.since, u.strikes = known.aside, known.since, known.strikes
+            # One budget: with two at a time a cold upstream could be sent twice what it bears.
+            u.budget, u.filled, known.budget = known.budget, known.filled, float("-inf")
+        self.narrow()
+        return kept
+
     def narrow(self) -> None:
         """The set in use: the highest ranks, as many as this balancer's few hops can tell of."""
         reach = self.reach if self.number >= 0 else None
--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -28,7 +28,7 @@
 class Program:
     def __init__(self, node: Node, log: Log) -> None:
         loop = asyncio.get_running_loop()
-        self.listen, self.log = node.listen, log
+        self.listen, self.log, self.unmet = node.listen, log, node.unmet
         self.done = loop.create_future()
         self.deadlines = Deadlines(loop)
         self.descriptors = Descriptors(node.sockets)
@@ -40,7 +40,7 @@
             self.router.balancer.chance, log,
         )  # fmt: skip
         self.listener = Listener(self.deadlines, self.descriptors, self.accept)
-        self.patience = max(node.longest)
+        self.patience, self.terms = max(node.longest), node.terms
         if node.known:
             book.read(node.known, first=True)
         yard.sweep()
@@ -54,6 +54,7 @@
         self.listener.open(self.listen)
         self.discovery.open()
         self.log("listening", address=":".join(map(str, self.listen)), entrance=self.router.balancer.entrance)
+        self.tell_unmet(self.unmet)
         # What the start made stays: no pause is spent on walking it again.
         gc.collect()
         gc.freeze()
@@ -94,8 +95,25 @@
             return self.log("reload.refused", why=str(error))
         self.log.verbose = node.verbose
         self.discovery.move(node.discovery)
+        if node.terms != self.terms:
+            self.switch(node)
         self.log("reloaded", discovery=":".join(map(str, node.discovery)), debug=node.verbose)
 
+    def switch(self, node: Node) -> None:
+        """Other settings, without a moment in which nobody serves."""
+        # Callers that connected before wait as long as either settings allow.
+        self.patience, self.terms = max(self.patience, *node.longest), node.terms
+        yard = self.router.yard
+        yard.dial_time, yard.rest = node.dial_time, node.rest
+        held = len(self.router.tickets)
+        kept = self.router.switch(node)
+        self.log("switched", held=held, kept=kept, afresh=len(yard.upstreams) - kept)
+        self.tell_unmet(node.unmet)
+
+    def tell_unmet(self, unmet: tuple[str, ...]) -> None:
+        if unmet:
+            self.log("unmet", settings=unmet)
+
     # The end.
 
     def stop(self) -> None:
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -8,7 +8,7 @@
 from dahliabend.net.protocol.callers import Caller
 from dahliabend.net.protocol.discovery import Discovery
 from dahliabend.net.routing.probes import Probe
-from dahliabend.net.routing.upstreams import Errand, Yard
+from dahliabend.net.routing.upstreams import Errand, Upstream, Yard
 from dahliabend.net.transport.deadlines import Deadlines, clock
 from dahliabend.net.transport.slots import Slots
 
@@ -17,14 +17,15 @@
     """A transaction taken: its caller, its handle and its hops."""
 
     __slots__ = (
-        "answered", "body", "caller", "handle", "head", "hops", "number", "passed", "profile", "taken",
-        "trace", "trail",
+        "answered", "body", "caller", "handle", "head", "hops", "number", "passed", "profile", "seat",
+        "taken", "trace", "trail",
     )  # fmt: skip
 
     def __init__(self, caller: Caller, profile: int, head: bytes, passed: bytes, body: bytes, trace: bytes):
         self.caller, self.profile, self.head, self.passed, self.body = caller, profile, head, passed, body
         self.trace, self.taken, self.answered, self.number = trace, clock(), False, -1
         self.handle: Transaction | None = None
+        self.seat: Seat | None = None
         self.hops: list[Hop] = []
         self.trail: list[tuple] = []  # of its hops: upstream, outcome, milliseconds
 
@@ -43,19 +44,71 @@
         self.router.hop_ended(self, outcome, took, answer)
 
 
+class Seat:
+    """One set of decisions and its port: what it alone is told, and the settings that it goes by. One that
+    has been followed stays until its last transaction has ended."""
+
+    def __init__(self, router: "Router", node: Node) -> None:
+        self.router, self.held, self.zones = router, 0, node.zones
+        self.probe_time, self.report_fields = node.probe_time, node.report_fields
+        self.send, self.roll_back, self.abandon = router.send, router.roll_back, router.abandon
+        self.cancel, self.close_idle, self.ask_list = router.cancel, router.close_idle, router.ask_list
+        self.balancer = Balancer(node.settings, self, node.seed)
+
+    def listed(self, upstreams: list[tuple[Upstream, State]], full: bool) -> None:
+        rows = [
+            (u.index, state, u.born, u.weight, u.cell, self.zones.get(u.zone, -1), u.name.encode())
+            for u, state in upstreams
+        ]
+        self.balancer.listed(clock(), rows, full)
+
+    def probe(self, upstream: int) -> None:
+        Probe(self.router.yard.upstreams[upstream], self.report_fields, self.probe_time, self.probed).start()
+
+    def probed(self, upstream: int, outcome: Outcome) -> None:
+        self.balancer.probed(clock(), upstream, outcome)
+
+    def wake(self, at: int, token: int) -> None:
+        self.router.deadlines.at(at, self.woken, token)
+
+    def woken(self, token: int) -> None:
+        if self in self.router.seats:
+            self.balancer.woken(clock(), token)
+
+    def tell(self, peer: int, text: bytes) -> None:
+        """Balancers have no way to each other here."""
+
+
 class Router:
     def __init__(self, node: Node, deadlines: Deadlines, yard: Yard, log: Callable) -> None:
         self.deadlines, self.yard, self.log = deadlines, yard, log
         self.discovery: Discovery | None = None
-        self.profiles, self.customers, self.zones = node.profiles, node.customers, node.zones
-        self.longest, self.slack = node.longest, node.slack
-        self.probe_time, self.report_fields = node.probe_time, node.report_fields
         self.epoch = node.epoch
         self.tickets: Slots[Ticket] = Slots(node.most_held)
         self.traces: set[bytes] = set()  # the ids of those
         self.stop_at = 0  # when all that is still held is given up; 0: not stopping
         self.counts: dict[str, int] = {}
-        self.balancer = Balancer(node.settings, self, node.seed)
+        self.seats: list[Seat] = []  # the last takes new transactions; the others end theirs
+        self.seat(node)
+
+    @property
+    def balancer(self) -> Balancer:
+        return self.seats[-1].balancer
+
+    def seat(self, node: Node) -> None:
+        self.profiles, self.customers = node.profiles, node.customers
+        self.longest, self.slack = node.longest, node.slack
+        self.seats.append(Seat(self, node))
+
+    def switch(self, node: Node) -> int:
+        """Other settings take over: a fresh set of decisions for what comes from now on. What is in hand ends
+        under those it began with, lest it get two answers or none. How many upstreams kept what is known."""
+        before, profiles = self.balancer, self.profiles
+        self.seats = [seat for seat in self.seats if seat.held]
+        self.seat(node)
+        self.seats[-1].listed([(u, u.state) for u in self.yard.upstreams.values()], full=True)
+        same = [(new, profiles[name]) for name, new in node.profiles.items() if name in profiles]
+        return self.balancer.follow(before, same)
 
     # What callers and the list bring.
 
@@ -81,7 +134,9 @@
         deadline = began + expires - min(self.slack, expires // 8)
         if self.stop_at:
             deadline = min(deadline, self.stop_at)
-        ticket.handle = self.balancer.take(
+        ticket.seat = seat = self.seats[-1]
+        seat.held += 1
+        ticket.handle = seat.balancer.take(
             ticket.taken, number, profile, self.customers.get(customer, len(self.customers)), deadline,
             _hint(hint), again,
         )  # fmt: skip
@@ -111,20 +166,23 @@
             if state is State.GONE and name not in self.yard.indices:
                 continue
             upstream = self.yard.find(name)
+            upstream.state, upstream.weight, upstream.cell, upstream.zone = state, weight, cell, zone
+            upstream.born = (started * 1000 + self.epoch or 1) if started else 0
             if state is State.READY:
                 upstream.use(address)
             else:
                 upstream.leave()
-            born = (started * 1000 + self.epoch or 1) if started else 0
-            told.append((upstream.index, state, born, weight, cell, self.zones.get(zone, -1), name.encode()))
-        self.balancer.listed(clock(), told, full)
-        states = {row[0]: row[1] for row in told}
+            told.append((upstream, state))
+        for seat in self.seats:  # also those that only end what they have: a drain holds for their hops too
+            seat.listed(told, full)
+        states = {upstream.index: state for upstream, state in told}
         for index in tuple(self.yard.upstreams):
             if states.get(index, State.GONE if full else None) is State.GONE:
                 self.yard.forget(index)
 
     def list_failed(self) -> None:
-        self.balancer.list_failed(clock())
+        for seat in self.seats:
+            seat.balancer.list_failed(clock())
 
     # The port.
 
@@ -149,22 +207,13 @@
         if ticket is not None:
             ticket.hops[hop].give_up(Outcome.CANCELLED)
 
-    def probe(self, upstream: int) -> None:
-        Probe(self.yard.upstreams[upstream], self.report_fields, self.probe_time, self.probed).start()
-
     def close_idle(self, upstream: int, age: int) -> None:
         self.yard.upstreams[upstream].close_idle(clock() - age)
 
-    def wake(self, at: int, token: int) -> None:
-        self.deadlines.at(at, self.woken, token)
-
     def ask_list(self) -> None:
         if self.discovery is not None:
             self.discovery.open()
 
-    def tell(self, peer: int, text: bytes) -> None:
-        """Balancers have no way to each other here."""
-
     # What comes of it.
 
     def hop_ended(self, hop: Hop, outcome: Outcome, took: int, answer: tuple | None) -> None:
@@ -197,17 +246,14 @@
 
     def drop_if_over(self, ticket: Ticket) -> None:
         if ticket.handle.over:
+            ticket.seat.held -= 1
+            if not ticket.seat.held and ticket.seat is not self.seats[-1]:
+                self.seats.remove(ticket.seat)
             self.tickets.drop(ticket.number)
             self.traces.discard(ticket.trace)
             # Its hops name it: left so, each transaction and its body would wait for the garbage collector.
             ticket.hops.clear()
 
-    def probed(self, upstream: int, outcome: Outcome) -> None:
-        self.balancer.probed(clock(), upstream, outcome)
-
-    def woken(self, token: int) -> None:
-        self.balancer.woken(clock(), token)
-
     def stop_by(self, when: int) -> None:
         """From now on transactions are given until then at the most."""
         self.stop_at = when
--- a/dahliabend/net/routing/upstreams.py
+++ b/dahliabend/net/routing/upstreams.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from dahliabend.model import Outcome
+from dahliabend.model import Outcome, State
 from dahliabend.net.protocol.upstreams import Link
 from dahliabend.net.transport.connection import dial
 from dahliabend.net.transport.deadlines import Deadlines, clock
@@ -102,6 +102,8 @@
     def __init__(self, yard: "Yard", index: int, name: str) -> None:
         self.yard, self.index, self.name = yard, index, name
         self.address = ("", 0)
+        # As the list last had it: other settings read it anew.
+        self.state, self.born, self.weight, self.cell, self.zone = State.GONE, 0, 1.0, 0, ""
         self.wanted = False  # may connections rest here?
         self.links: set[Link] = set()
         self.resting: list[Link] = []
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -1,6 +1,6 @@
 """Each rule at its edges, and each failure found on the bench, on the module alone."""
 
-from helpers import FREE, MARKED, MS, S, balancer, taken
+from helpers import FREE, MARKED, MS, ONCE, S, balancer, taken
 
 from dahliabend.decide import FLOOR, LINGER, SET, START, TIER_FLOOR, VALIDITY, Entry
 from dahliabend.model import Effect, Group, Outcome, Profile, State
@@ -466,6 +466,38 @@
     assert len(balancer(upstreams=40, balancers=40)[0].using) == 40
 
 
+def test_what_is_known_of_upstreams_holds_on_under_other_settings_and_the_rest_starts_afresh():
+    old, _ = balancer(upstreams=4, profiles=(FREE, ONCE), may_probe=False)
+    old.usual[:], old.ceiling, old.credit, old.gap = [7 * MS, 9 * MS], 99.0, 5.0, S
+    old.upstreams[0].pace, old.upstreams[2].born, old.upstreams[2].pace = 3.0, T - S, 3.0
+    old.set_aside(old.upstreams[1], T)
+    made, port = balancer(upstreams=4, balancers=90, profiles=(ONCE, MARKED, FREE), may_probe=False)
+    assert made.follow(old, [(0, 1), (2, 0)]) == 3
+    assert made.usual == [9 * MS, 0, 7 * MS] and made.gap == S
+    assert made.upstreams[0].pace == 3 and made.upstreams[2].pace == 1  # started again: nothing holds
+    assert made.ceiling != 99 and made.credit == 1
+    made.reach = 4
+    made.narrow()
+    for ref in range(9):
+        taken(made, 0, ref=ref).left(T)
+    assert 1 not in {note[2] for note in port.of("send")}  # set aside before, no rush now
+    made.woken(T + 2 * old.span - 1, 0)
+    assert made.upstreams[1].aside
+    made.woken(T + 2 * made.span, 0)
+    assert not made.upstreams[1].aside
+
+
+def test_a_cold_upstream_has_one_budget_through_a_switch():
+    old, before = balancer(upstreams=1, born=T, balancers=1, may_probe=False)
+    made, port = balancer(upstreams=1, born=T, balancers=1, may_probe=False)
+    old.upstreams[0].budget = made.upstreams[0].budget = 1.0
+    made.follow(old, [])
+    for ref in range(5):
+        assert old.warmth(old.upstreams[0], T + S) == 0
+        taken(made, 0, ref=ref)
+    assert len(port.of("send")) == 1
+
+
 def test_same_seed_same_actions():
     logs = []
     for _ in range(2):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -218,11 +218,11 @@
 
 def test_an_upstream_that_has_gone_gives_its_place_and_its_connections_back():
     class Told(Notes):
-        def listed(self, now, rows, full):
-            self[:] = [(row[0], row[-1]) for row in rows]
+        def listed(self, rows, full):
+            self[:] = [(u.index, u.name) for u, _ in rows]
 
     told, all_of = Told(), yard()
-    desk = SimpleNamespace(yard=all_of, zones={}, epoch=0, balancer=told)
+    desk = SimpleNamespace(yard=all_of, epoch=0, seats=[told])
     row = ("s-1", ("127.0.0.1", 1), State.READY, 0, 1.0, 0, "a")
     Router.listed(desk, [row], True)
     upstream = all_of.find("s-1")
@@ -233,7 +233,7 @@
     assert rests.closed and busy.closed and not all_of.upstreams and not all_of.indices
     Router.listed(desk, [("s-2", *row[1:])], True)  # a new one at the same address
     new = all_of.find("s-2")
-    assert told == [(new.index, b"s-2")] and new.index != upstream.index and not new.resting
+    assert told == [(new.index, "s-2")] and new.index != upstream.index and not new.resting
     Router.listed(desk, [row], True)
     assert list(all_of.indices) == ["s-1"] and all_of.find("s-1") is not upstream
 
@@ -399,7 +399,10 @@
         ticket.handle, ticket.hops = SimpleNamespace(over=True), [SimpleNamespace(ticket=ticket)]
         ticket.caller = made = Connection(Descriptors(100))
         made.release()
-        Router.drop_if_over(SimpleNamespace(tickets=Slots(4), traces=set()), ticket)
+        seat = ticket.seat = SimpleNamespace(held=1)
+        router = SimpleNamespace(tickets=Slots(4), traces=set(), seats=[seat, SimpleNamespace(held=0)])
+        Router.drop_if_over(router, ticket)
+        assert len(router.seats) == 1  # nor does a set of decisions that has been followed stay
         gone = ref(made)
         del ticket, made
         assert gone() is None  # nothing holds its transaction any more
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -249,6 +249,75 @@
         assert agent.asked.get(timeout=PATIENCE) and agent.asked.get(timeout=PATIENCE)
 
 
+MOVED = {
+    **CONF, "balancers": 7, "localities": ["b", "a"], "locality": 1, "fees": {"cross-zone": 0.2},
+    "profiles": [
+        CONF["profiles"][0],
+        {"name": "upload", "service-goal": 500.0, "hard-limit": 2000.0, "semantics": "at_most_once"},
+    ],
+    "caps": {**CONF["caps"], "probing": False, "max-streams": 100},
+}  # fmt: skip
+
+
+def replace(process, **changes):
+    """The file that the process reads, replaced as a whole, and its signal to read it."""
+    with open(f"{process.path}.new", "w") as file:
+        json.dump({**process.conf, **changes}, file)
+    os.replace(file.name, process.path)
+    process.send_signal(signal.SIGHUP)
+
+
+def test_settings_switch_under_traffic_and_back_and_a_faulty_file_changes_nothing():
+    go = Event()
+    one = Upstream(lambda conn, request: go.wait(PATIENCE) and conn.sendall(answer()) is None)
+    with program(one, Upstream()) as (address, process, agent):
+        held = [Caller(address) for _ in range(6)]
+        for n, caller in enumerate(held):
+            caller.send("submit", "POST", trace=f"h{n}")
+        assert one.came.get(timeout=PATIENCE)[0].startswith("POST /submit")
+        replace(process, settings={**MOVED, "fees": {"cross-zone": -1}})
+        assert "settings.fees.cross-zone" in logged(process, "reload.refused")["why"]
+        replace(process, settings=MOVED)
+        switched = logged(process, "switched")
+        assert switched["kept"] == 2 and not switched["afresh"] and switched["held"] >= 1
+        assert logged(process, "unmet")["settings"] == ["caps.max-streams"]
+        agent.tell(2, False, entry("s-0", one, "draining"))
+        while logged(process, "list")["version"] < 2:
+            pass
+        assert Caller(address).ask("submit", trace="n1")[0] == 404  # dropped by the new file
+        answers = [Caller(address).ask("upload", "POST", trace=f"u{n}", expires="1500") for n in range(4)]
+        assert [a[0] for a in answers] == [200] * 4
+        assert not any("upload" in request[0] for request in one.came.queue)
+        go.set()
+        assert [caller.read()[0] for caller in held] == [200] * 6  # each once: the connections go on
+        assert [caller.ask(trace=f"g{n}")[0] for n, caller in enumerate(held)] == [200] * 6
+        replace(process)
+        assert logged(process, "switched")["kept"] == 2
+        assert Caller(address).ask("submit", "POST", trace="n2")[0] == 200
+
+
+def test_after_a_switch_transactions_in_hand_go_on_to_none_that_drains():
+    go = Event()
+
+    def breaks(conn, request):
+        go.wait(PATIENCE)
+
+    one, two = Upstream(breaks), Upstream()
+    with program(one, agent=Agent(entry("s-0", one))) as (address, process, agent):
+        caller = Caller(address)
+        caller.send(trace="q1")
+        one.came.get(timeout=PATIENCE)
+        replace(process, settings=MOVED)
+        logged(process, "switched")
+        agent.tell(2, False, entry("s-0", one, "draining"), entry("s-1", two))
+        while logged(process, "list")["version"] < 2:
+            pass
+        go.set()
+        assert caller.read()[0] == 200 and two.came.get(timeout=PATIENCE)
+        assert one.came.empty()
+    two.close()
+
+
 class SilentAgent(Server):
     def serve(self, conn):
         while conn.recv(1024):
@@ -345,6 +414,11 @@
         ({"settings": {**CONF, "profiles": [{**CONF["profiles"][0], "name": ""}]}}, "profiles[0].name"),
         ({"settings": {**CONF, "caps": {"most-hops": 0}}}, "settings.caps.most-hops"),
         ({"settings": {**CONF, "balancers": "two"}}, "settings.balancers"),
+        ({"settings": {**CONF, "balancers": -4}}, "settings.balancers"),
+        ({"settings": {**CONF, "fees": {"cross-zone": -1}}}, "settings.fees.cross-zone"),
+        ({"settings": {**CONF, "fees": {"cross-zone": "dear"}}}, "settings.fees.cross-zone"),
+        ({"settings": {**CONF, "caps": {"most-hops": 4, "max-streams": 0}}}, "settings.caps.max-streams"),
+        ({"settings": {**CONF, "caps": {"most-hops": 4, "may-tell": "no"}}}, "settings.caps.may-tell"),
     ],
 )  # fmt: skip
 def test_a_faulty_configuration_ends_with_one_line_that_names_the_key(tmp_path, raw, key):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -115,6 +115,7 @@
 def test_settings_take_optional_keys_and_refuse_what_they_do_not_know():
     own = read(json.dumps(CONF).encode())
     assert own.profiles[0].service_goal == 2_000_000 and not own.may_probe and own.allowances == ()
+    assert own.cross_zone_fee == 0  # as where crossing costs nothing: the zone's share is never read
     with pytest.raises(ValueError, match="semantics"):
         read(json.dumps({**CONF, "profiles": [{**CONF["profiles"][0], "semantics": "maybe"}]}).encode())
 
