--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -169,6 +169,7 @@
         self.upstreams: dict[int, Upstream] = {}  # those listed, by index
         self.ready, self.near, self.far = [], [], []  # the highest ranks first; far: where crossing costs
         self.using, self.abroad = [], []  # the sets in use of near and of far ones
+        self.trial: Upstream | None = None  # set aside long enough to be tried
         self.number, self.reach, self.most = s.number, 0, 1  # upstreams in use, and ever ready at once
         self.tier, self.home, self.rested, self.gap = Entry(), Entry(), Entry(), 0.0
         self.hints, self.usual = [0.0] * len(s.profiles), [0.0] * len(s.profiles)  # means by profile
@@ -270,7 +271,7 @@
     def send(self, tx: Transaction, now: int) -> None:
         if now >= tx.end or len(tx.hops) >= self.most_hops or not tx.repeatable(now):
             return self.give_up(tx)
-        u = self.choose(tx, now)
+        u = self.try_aside(tx) or self.choose(tx, now)
         if u and not tx.hops:
             entry = self.governing(u, tx.profile, now)
             share = entry.share(now)
@@ -289,6 +290,15 @@
             hop_time = min(hop_time, self.patience(tx))
         self.port.send(tx.ref, u.index, max(1, hop_time))
 
+    def try_aside(self, tx: Transaction) -> Upstream | None:
+        """Without probes one hop that may run again tells whether an upstream set aside answers: brought back
+        with its full turn, a hung one would cost others that may not."""
+        u = self.trial
+        if not u or tx.hops or tx.kind.effect is not Effect.IDEMPOTENT or not self.usual[tx.profile]:
+            return None
+        self.trial = None
+        return u if u.aside and u.state is State.READY and not u.held else None
+
     def may_follow(self, tx: Transaction) -> bool:
         return tx.kind.effect is not Effect.NON_IDEMPOTENT and len(tx.hops) < self.most_hops
 
@@ -422,6 +432,10 @@
         # One slow or costly hop says nothing of the tier: time-outs count only while hops take long.
         self.tier.tried += 1
         self.tier.bad += bad and (self.pressed or outcome.proves_unrun)
+        if u.aside and not self.may_probe:
+            u.since, u.strikes = now, u.strikes + bad
+            if not bad:
+                self.bring_back(u, now)
         # One that takes no new connection but answers on open ones is full: set aside, those would close too.
         if outcome is Outcome.UNREACHABLE and now - u.answered >= self.validity:
             self.set_aside(u, now)
@@ -458,8 +472,11 @@
         for u in self.ready:
             if u.aside:
                 self.sound(u)
-                if not self.may_probe and now - u.since >= self.validity << min(u.strikes, 6):
-                    self.bring_back(u, now)
+                wait = max(self.validity, self.span << min(u.strikes, 6))
+                if not self.may_probe and now - u.since >= LINGER * wait:
+                    self.bring_back(u, now)  # nothing came by that may run again
+                elif not self.may_probe and now - u.since >= wait:
+                    self.trial = u
             elif u.held and self.last_heard > u.heard and now - u.heard > SILENT * self.took + self.beat:
                 # Hung upstreams are silent until time-outs: others answer, this one does not.
                 self.set_aside(u, now)
