Where all upstreams hold shares the tier's share decides what is refused

A quiet balancer's upstream entry takes 20 s to ease; with a set of two nothing clean is left to redirect to. Line: the refusal in `send` while `pressed` or the tier held a metric.

--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -274,13 +274,15 @@
         u = self.try_aside(tx) or self.choose(tx, now)
         if u and not tx.hops:
             entry = self.governing(u, tx.profile, now)
-            share = entry.share(now)
-            if entry is self.tier:  # refused at the entrance only: behind it, that wastes the work done above
-                if share and self.entrance and self.chance() < share * (1 + self.mean_value - tx.value):
+            if entry is not self.tier and self.chance() < entry.share(now):
+                clean = self.choose(tx, now, clean=True)
+                # Where all hold shares no one upstream is in trouble, and the tier's share decides: refusing
+                # each its own would spare nobody, and where all fail at times, whatever the load, serve nobody.
+                u, entry = (clean, entry) if clean else (u, self.tier)
+            if entry is self.tier and self.entrance:  # behind it a refusal wastes the work done above
+                share = entry.share(now)
+                if share and self.chance() < share * (1 + self.mean_value - tx.value):
                     u = None
-            elif share and self.chance() < share:
-                # Where all fail at times, whatever the load, a refusal spares nobody and serves nobody.
-                u = self.choose(tx, now, clean=True) or (None if self.pressed or self.tier.metric else u)
         if not u:
             return self.give_up(tx)
         hop_time = tx.end - now
