--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -276,8 +276,8 @@
             entry = self.governing(u, tx.profile, now)
             if entry is not self.tier and self.chance() < entry.share(now):
                 clean = self.choose(tx, now, clean=True)
-                # Where all hold shares no one upstream is in trouble, and the tier's share decides: refusing
-                # each its own would spare nobody, and where all fail at times, whatever the load, serve nobody.
+                # Where all hold shares no one upstream is in trouble, and the tier's decides: refusing each
+                # its own would spare nobody, and where all fail at times, whatever the load, serve nobody.
                 u, entry = (clean, entry) if clean else (u, self.tier)
             if entry is self.tier and self.entrance:  # behind it a refusal wastes the work done above
                 share = entry.share(now)
