--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -80,7 +80,6 @@
         self.weight, self.cell, self.zone = 1.0, 0, 0
         self.entries = [Entry() for _ in range(profiles + 1)]  # by profile; the last is the upstream's own
         self.held: dict[Transaction, Hop] = {}  # the hops out
-        self.load = 0.0  # what the hops out cost, in mean transactions
         self.aside = False
 
     def begin(self, born: int, now: int, chance: float) -> None:
@@ -107,7 +106,6 @@
     def __init__(self, home, ref: int, profile: int, deadline: int) -> None:
         self.home, self.ref, self.profile, self.end = home, ref, profile, deadline
         self.kind, self.value = home.profiles[profile], home.values[profile]
-        self.cost = self.heft = 1.0  # the work hinted at, to the mean of all and to its profile's
         self.hops, self.out, self.done = [], 0, False
 
     @property
@@ -172,8 +170,8 @@
         self.trial: Upstream | None = None  # set aside long enough to be tried
         self.number, self.reach, self.most = s.number, 0, 1  # upstreams in use, and ever ready at once
         self.tier, self.home, self.rested, self.gap = Entry(), Entry(), Entry(), 0.0
-        self.hints, self.usual = [0.0] * len(s.profiles), [0.0] * len(s.profiles)  # means by profile
-        self.took = self.stretch = self.low = self.mean_value = self.mean_hint = 0.0  # over all
+        self.usual = [0.0] * len(s.profiles)  # the mean hop time, by profile
+        self.took = self.stretch = self.low = self.mean_value = 0.0  # over all
         # Hops in flight, but for those at upstreams set aside; how many are let in, found, were served well.
         self.out, self.ceiling, self.crowd, self.borne, self.others = 0, 0.0, 0.0, 0.0, 1 - 1 / s.balancers
         self.weighed = self.served = self.last_heard = self.beats = self.sent = self.first_tries = 0
@@ -238,12 +236,8 @@
         if self.ask_again:  # after a while, at random: a registry that failed under load is not stormed
             self.port.wake(now + round(self.ask_again * (1 + self.chance()) / 2), 1)
 
-    def take(self, now, ref, profile, customer, deadline, hint=0, repeat=False) -> Transaction:
+    def take(self, now, ref, profile, customer, deadline, repeat=False) -> Transaction:
         tx = Transaction(self, ref, profile, deadline)
-        if hint:
-            self.mean_hint = blend(self.mean_hint, hint)
-            self.hints[profile] = blend(self.hints[profile], hint)
-            tx.cost, tx.heft = hint / self.mean_hint, max(1.0, hint / self.hints[profile])
         self.first_tries += not repeat
         if self.entrance:
             if not tx.kind.late_share:  # an answer after the goal is worth nothing: no work for it
@@ -305,8 +299,8 @@
         return tx.kind.effect is not Effect.NON_IDEMPOTENT and len(tx.hops) < self.most_hops
 
     def patience(self, tx: Transaction) -> int:
-        """How long a hop that may be repeated waits: by its hint, lest a heavy one be begun over and over."""
-        return max(tx.kind.service_goal // 2, round(PATIENCE * self.usual[tx.profile] * tx.heft))
+        """How long a hop that may be repeated waits."""
+        return max(tx.kind.service_goal // 2, round(PATIENCE * self.usual[tx.profile]))
 
     def governing(self, u: Upstream, profile: int, now: int) -> Entry:
         """The finest entry that holds a share; the tier's where the upstream has none."""
@@ -325,7 +319,7 @@
             for u in pool:
                 if not u.aside:
                     weights += u.weight
-                    loads += u.load
+                    loads += len(u.held)
             mean, best = SKIP * loads / weights if weights else 0.0, None
             for u in pool:
                 if careful and (u.aside or u in used) or risk and not self.same_group(tx, u, risk):
@@ -334,7 +328,7 @@
                 weight = u.weight / u.pace
                 if u.born and now - u.born < self.cold_time:
                     weight *= self.warmth(u, now)
-                if not weight or careful and u.load > mean * weight:
+                if not weight or careful and len(u.held) > mean * weight:
                     continue
                 if clean and (not u.entries[-1].until or self.governing(u, tx.profile, now).share(now)):
                     continue  # one not yet heard counts at the others' mean, which is not zero here
@@ -369,7 +363,6 @@
             self.port.close_idle(u.index, round(self.gap / 2))
             hop.idle = 0  # tells nothing of idle connections any more
         u.held[tx] = hop
-        u.load += tx.cost
         self.out += not u.aside
         self.sent += 1
         tx.out += 1
@@ -405,7 +398,7 @@
 
     def learn(self, now: int, tx: Transaction, u: Upstream, outcome: Outcome, took: int) -> None:
         u.held.pop(tx, None)
-        u.ended, u.load = now, u.load - tx.cost if u.held else 0.0
+        u.ended = now
         self.out -= not u.aside
         if outcome in (Outcome.CANCELLED, Outcome.MOOT):
             return
--- a/dahliabend/net/protocol/callers.py
+++ b/dahliabend/net/protocol/callers.py
@@ -22,7 +22,7 @@
 
     def take(
         self, caller, profile: int, method: bytes, target: bytes, passed: bytes, body: bytes, *,
-        expires: int, began: int, customer: bytes, hint: bytes, again: bool, trace: bytes,
+        expires: int, began: int, customer: bytes, again: bool, trace: bytes,
     ) -> int: ...  # fmt: skip
     def left(self, number: int) -> None: ...
     def ready(self) -> bool: ...
@@ -165,7 +165,7 @@
         self.ticket = self.desk.take(
             self, profile, method, target, passed, body,
             expires=int(expires) * 1000, began=began, customer=fields.get(wire.CUSTOMER, b""),
-            hint=fields.get(wire.HINT, b""), again=fields.get(wire.SECOND_TRY) == b"1", trace=trace,
+            again=fields.get(wire.SECOND_TRY) == b"1", trace=trace,
         )  # fmt: skip
 
     def refuse(self, status: int) -> None:
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -113,7 +113,7 @@
     # What callers and the list bring.
 
     def take(
-        self, caller, profile, method, target, passed, body, *, expires, began, customer, hint, again, trace
+        self, caller, profile, method, target, passed, body, *, expires, began, customer, again, trace
     ) -> int:
         if trace in self.traces:
             # Another's open transaction: sent on, it would be a second copy of that one at an upstream.
@@ -138,7 +138,7 @@
         seat.held += 1
         ticket.handle = seat.balancer.take(
             ticket.taken, number, profile, self.customers.get(customer, len(self.customers)), deadline,
-            _hint(hint), again,
+            again,
         )  # fmt: skip
         self.drop_if_over(ticket)
         return -1 if ticket.answered else number
@@ -264,8 +264,3 @@
         for ticket in self.tickets:
             for hop in ticket.hops:
                 hop.give_up(Outcome.TIMED_OUT)
-
-
-def _hint(text: bytes) -> int:
-    """The work to expect, whole microseconds on a standard core; none where it is no such number."""
-    return int(text) if text.isdigit() and len(text) <= 12 else 0
