A cold upstream that was set aside is tried within its budget only

The budget now holds for tries too, and `warmth` itself says what is warm. Its test fails without it (the hop goes to the cold one at half a budget).

--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -265,7 +265,7 @@
     def send(self, tx: Transaction, now: int) -> None:
         if now >= tx.end or len(tx.hops) >= self.most_hops or not tx.repeatable(now):
             return self.give_up(tx)
-        u = self.try_aside(tx) or self.choose(tx, now)
+        u = self.try_aside(tx, now) or self.choose(tx, now)
         if u and not tx.hops:
             entry = self.governing(u, tx.profile, now)
             if entry is not self.tier and self.chance() < entry.share(now):
@@ -286,14 +286,16 @@
             hop_time = min(hop_time, self.patience(tx))
         self.port.send(tx.ref, u.index, max(1, hop_time))
 
-    def try_aside(self, tx: Transaction) -> Upstream | None:
+    def try_aside(self, tx: Transaction, now: int) -> Upstream | None:
         """Without probes one hop that may run again tells whether an upstream set aside answers: brought back
         with its full turn, a hung one would cost others that may not."""
         u = self.trial
         if not u or tx.hops or tx.kind.effect is not Effect.IDEMPOTENT or not self.usual[tx.profile]:
             return None
         self.trial = None
-        return u if u.aside and u.state is State.READY and not u.held else None
+        # All balancers may try a cold one in the same second: its budget holds for tries too.
+        may = u.aside and u.state is State.READY and not u.held and self.warmth(u, now)
+        return u if may else None
 
     def may_follow(self, tx: Transaction) -> bool:
         return tx.kind.effect is not Effect.NON_IDEMPOTENT and len(tx.hops) < self.most_hops
@@ -326,8 +328,7 @@
                     continue
                 # A slow upstream that answers in time shows no refusals: its turn shrinks with its pace.
                 weight = u.weight / u.pace
-                if u.born and now - u.born < self.cold_time:
-                    weight *= self.warmth(u, now)
+                weight *= self.warmth(u, now)
                 if not weight or careful and len(u.held) > mean * weight:
                     continue
                 if clean and (not u.entries[-1].until or self.governing(u, tx.profile, now).share(now)):
@@ -346,7 +347,9 @@
         return group is Group.ALL or (u.cell == risk.cell if group is Group.CELL else u.zone == risk.zone)
 
     def warmth(self, u: Upstream, now: int) -> float:
-        """The least share of its capacity that a cold upstream has; 0 with its budget spent."""
+        """The least share of its capacity that an upstream has; 0 if it is cold and its budget is spent."""
+        if not u.born or now - u.born >= self.cold_time:
+            return 1.0
         # All balancers together must not push it over: each sends at most that share of half the multiple
         # of what it sends an upstream in the mean, one hop at a time.
         warm = self.cold_from + (1 - self.cold_from) * max(0, now - u.born) / self.cold_time
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -494,6 +494,15 @@
     assert made.upstreams[1].strikes == 1
 
 
+def test_a_cold_upstream_set_aside_is_tried_within_its_budget():
+    for budget, tried in ((0.5, 1), (1.0, 0)):
+        made, port = balancer(upstreams=2, may_probe=False)
+        made.usual[0], cold = 10 * MS, made.upstreams[0]
+        cold.aside, cold.born, cold.budget, cold.filled, made.trial = True, T - S, budget, T, cold
+        taken(made, 0)
+        assert port.of("send")[0][2] == tried
+
+
 def test_a_cold_upstream_has_one_budget_through_a_switch():
     old, before = balancer(upstreams=1, born=T, balancers=1, may_probe=False)
     made, port = balancer(upstreams=1, born=T, balancers=1, may_probe=False)
