--- a/dahliabend/config.py
+++ b/dahliabend/config.py
@@ -126,9 +126,16 @@
     most_held: int
     report_fields: tuple[str, ...]  # that probes bring
     unmet: tuple[str, ...]  # settings that allow what this program does not do
-    terms: tuple  # what the decisions and their port go by: where it differs, they are made anew
     epoch: int  # added to Unix time in microseconds it gives monotonic time
 
+    @property
+    def terms(self) -> tuple:
+        """What the decisions and their port go by: where it differs, they are made anew."""
+        return (
+            self.settings, self.profiles, self.customers, self.zones, self.slack, self.dial_time, self.rest,
+            self.report_fields,
+        )  # fmt: skip
+
 
 REST = 7 / 8  # of the settings' idle time, after which the other end may have closed
 
@@ -183,12 +190,7 @@
         seed = int(node.seed or "0", 16)
     except ValueError:
         raise ValueError(f"seed: {node.seed!r} is no hexadecimal number") from None
-    profiles = {name.encode(): index for index, name in enumerate(names)}
-    customers = {t.name.encode(): index for index, t in enumerate(conf.tenants)}
-    zones = {name: index for index, name in enumerate(conf.localities)}
     unmet = {"caps.max-streams": conf.caps.max_streams > 1, "caps.may-tell": conf.caps.may_tell}
-    slack, dial, idle = us(conf.contract.answer_slack), us(conf.caps.dial_timeout), us(conf.caps.conn_idle)
-    fields = tuple(conf.report.fields) if conf.report.source == "on_probe" else ()
     return Node(
         name=environment.get("PROXY_NAME") or node.name or "dahliabend",
         listen=_address("listen", environment.get("PROXY_LISTEN") or node.listen),
@@ -198,18 +200,17 @@
         known=node.known,
         verbose=node.log == "debug",
         settings=settings,
-        profiles=profiles,
-        customers=customers,
-        zones=zones,
+        profiles={name.encode(): index for index, name in enumerate(names)},
+        customers={t.name.encode(): index for index, t in enumerate(conf.tenants)},
+        zones={name: index for index, name in enumerate(conf.localities)},
         longest=tuple(p.hard_limit for p in settings.profiles),
-        slack=slack,
-        dial_time=dial,
-        rest=round(idle * REST),
-        probe_time=2 * dial,
+        slack=us(conf.contract.answer_slack),
+        dial_time=us(conf.caps.dial_timeout),
+        rest=round(us(conf.caps.conn_idle) * REST),
+        probe_time=2 * us(conf.caps.dial_timeout),
         most_held=conf.caps.most_held,
-        report_fields=fields,
+        report_fields=tuple(conf.report.fields) if conf.report.source == "on_probe" else (),
         unmet=tuple(key for key, asked in unmet.items() if asked),
-        terms=(settings, profiles, customers, zones, slack, dial, idle, fields),
         epoch=time.monotonic_ns() // 1000 - time.time_ns() // 1000,
     )
 
--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -328,7 +328,8 @@
                     continue
                 # A slow upstream that answers in time shows no refusals: its turn shrinks with its pace.
                 weight = u.weight / u.pace
-                weight *= self.warmth(u, now)
+                if u.born:  # the list tells of its start: it may be cold
+                    weight *= self.warmth(u, now)
                 if not weight or careful and len(u.held) > mean * weight:
                     continue
                 if clean and (not u.entries[-1].until or self.governing(u, tx.profile, now).share(now)):
@@ -468,12 +469,13 @@
         self.port.wake(now + self.beat, 0)
         self.beats += 1
         for u in self.ready:
-            if u.aside:
+            if u.aside and self.may_probe:
                 self.sound(u)
-                wait = max(self.validity, self.span << min(u.strikes, 6))
-                if not self.may_probe and now - u.since >= LINGER * wait:
+            elif u.aside:
+                waited, wait = now - u.since, max(self.validity, self.span << min(u.strikes, 6))
+                if waited >= LINGER * wait:
                     self.bring_back(u, now)  # nothing came by that may run again
-                elif not self.may_probe and now - u.since >= wait:
+                elif waited >= wait:
                     self.trial = u
             elif u.held and self.last_heard > u.heard and now - u.heard > SILENT * self.took + self.beat:
                 # Hung upstreams are silent until time-outs: others answer, this one does not.
--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -28,7 +28,7 @@
 class Program:
     def __init__(self, node: Node, log: Log) -> None:
         loop = asyncio.get_running_loop()
-        self.listen, self.log, self.unmet = node.listen, log, node.unmet
+        self.listen, self.log = node.listen, log
         self.done = loop.create_future()
         self.deadlines = Deadlines(loop)
         self.descriptors = Descriptors(node.sockets)
@@ -41,6 +41,7 @@
         )  # fmt: skip
         self.listener = Listener(self.deadlines, self.descriptors, self.accept)
         self.patience, self.terms = max(node.longest), node.terms
+        self.tell_unmet(node.unmet)
         if node.known:
             book.read(node.known, first=True)
         yard.sweep()
@@ -54,7 +55,6 @@
         self.listener.open(self.listen)
         self.discovery.open()
         self.log("listening", address=":".join(map(str, self.listen)), entrance=self.router.balancer.entrance)
-        self.tell_unmet(self.unmet)
         # What the start made stays: no pause is spent on walking it again.
         gc.collect()
         gc.freeze()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import signal
 import socket
 import sys
 import time
@@ -218,6 +219,14 @@
     return line
 
 
+def replace(process, **changes):
+    """The file that the process reads, replaced as a whole, and its signal to read it."""
+    with open(f"{process.path}.new", "w") as file:
+        json.dump({**process.conf, **changes}, file)
+    os.replace(file.name, process.path)
+    process.send_signal(signal.SIGHUP)
+
+
 def is_ready(address):
     caller = Caller(address)
     caller.sock.sendall(b"GET /-/ready HTTP/1.1\r\nHost: api\r\n\r\n")
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -12,7 +12,20 @@
 from types import SimpleNamespace
 
 import pytest
-from helpers import CONF, PATIENCE, Agent, Caller, Server, Upstream, answer, entry, is_ready, logged, program
+from helpers import (
+    CONF,
+    PATIENCE,
+    Agent,
+    Caller,
+    Server,
+    Upstream,
+    answer,
+    entry,
+    is_ready,
+    logged,
+    program,
+    replace,
+)
 
 
 def test_a_transaction_passes_unchanged_and_connections_are_kept():
@@ -226,26 +239,20 @@
         assert is_ready(address) == 503 and caller.ask()[0] == 503
 
 
-def test_sighup_moves_the_watch_to_the_files_discovery_and_a_faulty_file_changes_nothing(tmp_path):
+def test_sighup_moves_the_watch_to_the_files_discovery_and_a_faulty_file_changes_nothing():
     one, two, other = Upstream(), Upstream(), Agent()
     with program(one, two, agent=Agent(entry("s-1", one))) as (address, process, agent), closing(other):
-
-        def replace(**changes):
-            (tmp_path / "new").write_text(json.dumps({**process.conf, **changes}))
-            (tmp_path / "new").replace(process.path)
-            process.send_signal(signal.SIGHUP)
-
-        replace(discovery="127.0.0.1:70000")
+        replace(process, discovery="127.0.0.1:70000")
         assert logged(process, "reload.refused")["why"].startswith("discovery: ")
         assert Caller(address).ask()[0] == 200 and len(agent.watches) == 1
         other.servers = [entry("s-2", two)]
-        replace(discovery=other.address, log="debug")
+        replace(process, discovery=other.address, log="debug")
         assert other.asked.get(timeout=PATIENCE).split()[1] == "/api/targets?watch=1&after=1"
         other.tell(2, True, entry("s-2", two))
         while logged(process, "list")["version"] < 2:
             pass
         assert Caller(address).ask(trace="t2")[0] == 200 and two.came.get(timeout=PATIENCE)
-        replace()
+        replace(process)
         assert agent.asked.get(timeout=PATIENCE) and agent.asked.get(timeout=PATIENCE)
 
 
@@ -259,14 +266,6 @@
 }  # fmt: skip
 
 
-def replace(process, **changes):
-    """The file that the process reads, replaced as a whole, and its signal to read it."""
-    with open(f"{process.path}.new", "w") as file:
-        json.dump({**process.conf, **changes}, file)
-    os.replace(file.name, process.path)
-    process.send_signal(signal.SIGHUP)
-
-
 def test_settings_switch_under_traffic_and_back_and_a_faulty_file_changes_nothing():
     go = Event()
     one = Upstream(lambda conn, request: go.wait(PATIENCE) and conn.sendall(answer()) is None)
