Operators' door: ready, telemetry, evacuate and rejoin; counts by class name

Seen: n0 told to drain, clients sent to it 4 s later; 110 of 110 askings for figures unanswered. Cause: nobody listened at PROXY_ADMIN. A test that failed now and then (a refused connection) is mended: the port of its closed stand-in could be given to the balancer itself, which then sent to itself (409); now it is bound and does not listen. The trickle test has 80 descriptors for 64: 16 are the door's.

--- a/dahliabend/config.py
+++ b/dahliabend/config.py
@@ -96,6 +96,7 @@
     settings: _Conf
     listen: str = ""
     discovery: str = ""
+    admin: str = ""
     name: str = ""
     seed: str = ""
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -110,6 +111,7 @@
     name: str
     listen: tuple[str, int]
     discovery: tuple[str, int]
+    admin: tuple[str, int] | None  # where operators call
     seed: int
     sockets: int
     known: dict  # the list as this balancer last had it, in discovery's form
@@ -190,11 +192,13 @@
         seed = int(node.seed or "0", 16)
     except ValueError:
         raise ValueError(f"seed: {node.seed!r} is no hexadecimal number") from None
+    admin = environment.get("PROXY_ADMIN") or node.admin
     unmet = {"caps.max-streams": conf.caps.max_streams > 1, "caps.may-tell": conf.caps.may_tell}
     return Node(
         name=environment.get("PROXY_NAME") or node.name or "dahliabend",
         listen=_address("listen", environment.get("PROXY_LISTEN") or node.listen),
         discovery=_address("discovery", environment.get("PROXY_DISCOVERY") or node.discovery),
+        admin=_address("admin", admin) if admin else None,
         seed=seed,
         sockets=node.limits.sockets,
         known=node.known,
--- /dev/null
+++ b/dahliabend/net/program/operations.py
@@ -0,0 +1,55 @@
+"""What each of the operators' calls does."""
+
+from collections.abc import Callable
+
+import orjson
+
+from dahliabend.net.protocol.operators import Answer
+
+_JSON = b"Content-Type: application/json\r\n"
+
+
+def said(status: int, **fields) -> Answer:
+    return status, _JSON, orjson.dumps(fields, option=orjson.OPT_APPEND_NEWLINE)
+
+
+class Operations:
+    """The calls by path, each with its method. They act on the program, which has all that is asked about."""
+
+    def __init__(self, program, log: Callable) -> None:
+        self.program, self.log = program, log
+        self.calls = {
+            b"/api/ready": (b"GET", self.ready),
+            b"/api/telemetry": (b"GET", self.telemetry),
+            b"/api/evacuate": (b"PUT", self.evacuate),
+            b"/api/rejoin": (b"PUT", self.rejoin),
+        }
+
+    def __call__(self, method: bytes, path: bytes, body: bytes) -> Answer:
+        wanted, call = self.calls.get(path, (b"", None))
+        if call is None:
+            answer = said(404, error="no such call")
+        elif method != wanted:
+            answer = 405, b"Allow: %b\r\n" % wanted, b"wrong method\n"
+        else:
+            answer = call(body)
+        if wanted != b"GET" or answer[0] >= 400:
+            self.log(
+                "call", method=method.decode("latin-1"), path=path.decode("latin-1")[:100], status=answer[0]
+            )
+        return answer
+
+    def ready(self, _: bytes) -> Answer:
+        ready = self.program.ready()
+        return said(200 if ready else 503, ready=ready)
+
+    def telemetry(self, _: bytes) -> Answer:
+        return said(200, **self.program.telemetry())
+
+    def evacuate(self, _: bytes) -> Answer:
+        self.program.evacuate()
+        return said(200, evacuated=True)
+
+    def rejoin(self, _: bytes) -> Answer:
+        self.program.rejoin()
+        return said(200, evacuated=False)
--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -6,13 +6,16 @@
 import signal
 
 from dahliabend.config import Node, reread_node
+from dahliabend.net.program.figures import Figures
 from dahliabend.net.program.log import Log
+from dahliabend.net.program.operations import Operations
 from dahliabend.net.protocol.callers import Caller
 from dahliabend.net.protocol.discovery import Book, Discovery
+from dahliabend.net.protocol.operators import Operator
 from dahliabend.net.routing.router import Router
 from dahliabend.net.routing.upstreams import Yard
 from dahliabend.net.transport.deadlines import Deadlines, clock
-from dahliabend.net.transport.descriptors import Descriptors
+from dahliabend.net.transport.descriptors import DOOR, OTHERS, Descriptors
 from dahliabend.net.transport.listener import Listener
 
 ACCEPTING = 500_000  # new connections come for 0.4 s after SIGTERM at the most
@@ -28,18 +31,21 @@
 class Program:
     def __init__(self, node: Node, log: Log) -> None:
         loop = asyncio.get_running_loop()
-        self.listen, self.log = node.listen, log
+        self.listen, self.admin, self.log = node.listen, node.admin, log
         self.done = loop.create_future()
         self.deadlines = Deadlines(loop)
-        self.descriptors = Descriptors(node.sockets)
+        self.descriptors = Descriptors(node.sockets - (DOOR if node.admin else 0))
+        self.figures = Figures()
         yard = Yard(self.deadlines, self.descriptors, node.dial_time, node.rest, log.debug)
-        self.router = Router(node, self.deadlines, yard, log)
+        self.router = Router(node, self.deadlines, yard, self.figures, log)
         book = Book(self.router, log)
         self.discovery = self.router.discovery = Discovery(
             node.discovery, book, self.deadlines, self.descriptors, node.dial_time,
             self.router.balancer.chance, log,
         )  # fmt: skip
         self.listener = Listener(self.deadlines, self.descriptors, self.accept)
+        self.door, self.operations = Descriptors(OTHERS + DOOR), Operations(self, log)
+        self.door_listener = Listener(self.deadlines, self.door, self.accept_operator)
         self.patience, self.terms = max(node.longest), node.terms
         self.tell_unmet(node.unmet)
         if node.known:
@@ -53,6 +59,8 @@
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD_BACK)  # one that came during the start is not missed
         self.listener.open(self.listen)
+        if self.admin:
+            self.door_listener.open(self.admin)
         self.discovery.open()
         self.log("listening", address=":".join(map(str, self.listen)), entrance=self.router.balancer.entrance)
         # What the start made stays: no pause is spent on walking it again.
@@ -67,6 +75,31 @@
     def accept(self) -> Caller:
         return Caller(self.descriptors, self.deadlines, self.router, self.patience)
 
+    def accept_operator(self) -> Operator:
+        return Operator(self.door, self.deadlines, self.operations)
+
+    # What operators ask for.
+
+    def ready(self) -> bool:
+        return self.listener.sock is not None and self.router.ready()
+
+    def telemetry(self) -> dict:
+        return self.figures.shown() | self.router.shown()
+
+    def evacuate(self) -> None:
+        """Callers go elsewhere; what they have asked for is answered first, and who still comes is served."""
+        if not self.router.evacuated:
+            self.router.evacuated = True
+            self.clear_out()
+
+    def rejoin(self) -> None:
+        self.router.evacuated = False
+
+    def clear_out(self) -> None:
+        if self.router.evacuated:
+            self.let_go()
+            self.deadlines.at(clock() + IN_HAND // 3, self.clear_out)
+
     def sweep(self) -> None:
         """Many callers ask once and stay: kept, their connections would be all there are."""
         for caller in self.callers(self.descriptors.rested(clock() - CALLER_REST)):
@@ -92,7 +125,9 @@
         try:
             node = reread_node(os.environ)
         except ValueError as error:
+            self.figures.invalid += 1
             return self.log("reload.refused", why=str(error))
+        self.figures.accepted += 1
         self.log.verbose = node.verbose
         self.discovery.move(node.discovery)
         if node.terms != self.terms:
--- a/dahliabend/net/protocol/callers.py
+++ b/dahliabend/net/protocol/callers.py
@@ -27,6 +27,9 @@
     def left(self, number: int) -> None: ...
     def ready(self) -> bool: ...
     def closing(self) -> bool: ...
+    def opened(self) -> None: ...
+    def ended(self) -> None: ...
+    def counted(self, name: bytes, status: int) -> None: ...
 
 
 class Caller(Connection):
@@ -38,6 +41,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.queue: deque[tuple] = deque()  # requests that have come whole
         self.ticket = -1  # of the transaction that is being served
+        self.profile = b""  # the known one that it names, until its answer has gone
         self.serving = self.keep = self.last = self.served = False
         self.fault = 0  # the status that ends this connection, once all before it is answered
         self.stalled: list | None = None  # the deadline of a request half come, or of an answer half gone
@@ -144,6 +148,7 @@
         self.holding = bool(self.queue or self.fault)
         if self.fault and not self.serving and not self.closed and not self.last:
             self.serving, self.keep = True, False
+            self.name(self.target)
             self.refuse(self.fault)
         elif self.began and not self.serving and (self.stalled is None or self.stalled[2] is None):
             self.expect(self.began)  # half a request: a trickle would hold its descriptor for ever
@@ -156,7 +161,7 @@
         if path == wire.READY:
             ready = self.desk.ready()
             return self.answer(200 if ready else 503, b"", b"ready\n" if ready else b"not ready\n")
-        profile = self.desk.profiles.get(path[1:].partition(b"/")[0]) if path[:1] == b"/" else None
+        profile = self.name(path)
         if profile is None:
             return self.refuse(404)
         trace, expires = fields.get(wire.TRACE, b""), fields.get(wire.EXPIRES, b"")
@@ -168,6 +173,20 @@
             again=fields.get(wire.SECOND_TRY) == b"1", trace=trace,
         )  # fmt: skip
 
+    def name(self, path: bytes) -> int | None:
+        """Which profile the path names, if it is a known one. From now on its request counts as open."""
+        name = path.partition(b"?")[0][1:].partition(b"/")[0]
+        profile = self.desk.profiles.get(name) if path[:1] == b"/" else None
+        if profile is not None:
+            self.profile = name
+            self.desk.opened()
+        return profile
+
+    def over(self) -> None:
+        if self.profile:
+            self.profile = b""
+            self.desk.ended()
+
     def refuse(self, status: int) -> None:
         allow = b"Allow: GET, POST\r\n" if status == 405 else b""
         self.answer(status, allow, wire.REASONS[status] + b"\n")
@@ -177,6 +196,8 @@
         self.ticket = -1
         if self.closed:
             return
+        if self.profile:
+            self.desk.counted(self.profile, status)
         # Kept while others wait to come in, it would have these miss their limits.
         self.keep = self.keep and (bool(self.queue) or not (self.desk.closing() or self.descriptors.crowded))
         ending = b"" if self.keep else b"Connection: close\r\n"
@@ -194,6 +215,7 @@
         if not self.served:
             return
         self.served = self.serving = False
+        self.over()
         self.deadlines.drop(self.stalled)
         self.stalled = None
         if self.last:
@@ -239,6 +261,7 @@
     def lost(self) -> None:
         self.parser = None  # it holds this connection and its rings
         self.deadlines.drop(self.stalled)
+        self.over()
         ticket, self.ticket = self.ticket, -1
         if ticket >= 0:
             self.desk.left(ticket)
--- /dev/null
+++ b/dahliabend/net/protocol/operators.py
@@ -0,0 +1,82 @@
+"""HTTP to operators: one call a connection, answered in the turn of the loop in which it has come whole."""
+
+from collections.abc import Callable
+
+import httptools
+
+from dahliabend.net.protocol import headers as wire
+from dahliabend.net.transport.connection import Connection
+from dahliabend.net.transport.deadlines import Deadlines, clock
+from dahliabend.net.transport.descriptors import Descriptors
+
+MOST_CALL = 8192  # bytes, head and body
+SEND = 2_500_000  # for a call to come whole, counted from connecting, and for its answer to be read
+
+Answer = tuple[int, bytes, bytes]  # status, further header lines, body
+
+
+class Operator(Connection):
+    """One call. `answer` is told method, path and body."""
+
+    def __init__(
+        self, descriptors: Descriptors, deadlines: Deadlines, answer: Callable[[bytes, bytes, bytes], Answer]
+    ) -> None:
+        super().__init__(descriptors)
+        self.deadlines, self.answer = deadlines, answer
+        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self.target, self.body, self.size, self.done = b"", b"", 0, False
+        self.limit: list | None = None
+
+    def connection_made(self, transport) -> None:
+        super().connection_made(transport)
+        # It owes its call from now on: the oldest that has not sent one goes once another wants in. Held for
+        # as long as they like, a few silent ones would lock the operators out.
+        self.descriptors.owes(self.number, clock())
+        self.limit = self.deadlines.at(clock() + SEND, self.shut)
+
+    def may_go(self) -> bool:
+        return not self.waiting()
+
+    def on_url(self, part: bytes) -> None:
+        self.target += part
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"expect" and value.lower() == b"100-continue":
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, part: bytes) -> None:
+        self.body += part
+
+    def on_message_complete(self) -> None:
+        path = self.target.partition(b"?")[0]
+        self.say(*self.answer(self.parser.get_method(), path, self.body))
+
+    def received(self, view: memoryview) -> None:
+        if self.done:
+            return  # one call a connection
+        self.size += len(view)
+        if self.size > MOST_CALL:
+            return self.say(413, b"", b"too long\n")
+        try:
+            self.parser.feed_data(view)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.say(400, b"", b"not understood\n")
+
+    def say(self, status: int, extra: bytes, body: bytes) -> None:
+        if self.done:
+            return
+        self.done = True
+        head = b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\nConnection: close\r\n" % (
+            status, wire.REASONS.get(status, b"Other"), len(body),
+        )  # fmt: skip
+        self.write(head + extra + b"\r\n", body)
+
+    def flushed(self) -> None:
+        # Closed with a part of the call unread, the answer could be wiped out before it is read: it ends
+        # when the operator ends it, or at its limit.
+        if self.done and self.transport is not None and self.transport.can_write_eof():
+            self.transport.write_eof()
+
+    def lost(self) -> None:
+        self.parser = None  # it holds this connection and its rings
+        self.deadlines.drop(self.limit)
--- a/dahliabend/net/protocol/upstreams.py
+++ b/dahliabend/net/protocol/upstreams.py
@@ -10,8 +10,9 @@
 
 
 class Asker(Protocol):
-    """Whoever has a request out. Exactly one of these is called, unless the link is shut first."""
+    """Whoever has a request out. Exactly one of the last two is called, unless the link is shut first."""
 
+    def written(self) -> None: ...  # whole, before any of these
     def answered(self, status: int, never_ran: bool, load: bytes, passed: bytes, body: bytes) -> None: ...
     def broke(self, written: bool) -> None: ...
 
@@ -30,14 +31,21 @@
         self.asker: Asker | None = None
         self.keep = True
         self.parser: httptools.HttpResponseParser | None = None
+        self.owed = False  # is the request still being written?
 
     def ask(self, asker: Asker, head: bytes, body: bytes) -> None:
         self.asker = asker
         self.parser = httptools.HttpResponseParser(self)
         self.status = 0  # of the answer, once it has come whole
         self.unread = 0  # bytes since the parser last made something of them
+        self.owed = True
         self.write(head, body)
 
+    def flushed(self) -> None:
+        if self.owed and self.asker is not None:
+            self.owed = False
+            self.asker.written()
+
     # What the parser tells. A fault raised here ends the reading.
 
     def on_message_begin(self) -> None:
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -17,13 +17,14 @@
     """A transaction taken: its caller, its handle and its hops."""
 
     __slots__ = (
-        "answered", "body", "caller", "handle", "head", "hops", "number", "passed", "profile", "seat",
+        "answered", "body", "caller", "handle", "head", "hops", "name", "number", "passed", "profile", "seat",
         "taken", "trace", "trail",
     )  # fmt: skip
 
     def __init__(self, caller: Caller, profile: int, head: bytes, passed: bytes, body: bytes, trace: bytes):
         self.caller, self.profile, self.head, self.passed, self.body = caller, profile, head, passed, body
         self.trace, self.taken, self.answered, self.number = trace, clock(), False, -1
+        self.name = b""  # of its profile, as on the wire
         self.handle: Transaction | None = None
         self.seat: Seat | None = None
         self.hops: list[Hop] = []
@@ -40,6 +41,9 @@
         super().__init__(upstream, head, ticket.body, timeout)
         self.router, self.ticket, self.order = router, ticket, len(ticket.hops)
 
+    def written(self) -> None:
+        self.router.figures.relayed(self.ticket.name)
+
     def ended(self, outcome: Outcome, took: int, answer: tuple | None) -> None:
         self.router.hop_ended(self, outcome, took, answer)
 
@@ -80,8 +84,10 @@
 
 
 class Router:
-    def __init__(self, node: Node, deadlines: Deadlines, yard: Yard, log: Callable) -> None:
-        self.deadlines, self.yard, self.log = deadlines, yard, log
+    def __init__(self, node: Node, deadlines: Deadlines, yard: Yard, figures, log: Callable) -> None:
+        self.deadlines, self.yard, self.figures, self.log = deadlines, yard, figures, log
+        self.counted = figures.answered
+        self.evacuated = False  # an operator has sent the callers elsewhere
         self.discovery: Discovery | None = None
         self.epoch = node.epoch
         self.tickets: Slots[Ticket] = Slots(node.most_held)
@@ -97,6 +103,7 @@
 
     def seat(self, node: Node) -> None:
         self.profiles, self.customers = node.profiles, node.customers
+        self.figures.know(node.profiles)
         self.longest, self.slack = node.longest, node.slack
         self.seats.append(Seat(self, node))
 
@@ -121,7 +128,8 @@
             return -1
         head = b"%b %b HTTP/1.1\r\n" % (method, target)
         ticket = Ticket(caller, profile, head, passed, body, trace)
-        ticket.number = number = self.tickets.put(ticket)
+        ticket.name, ticket.number = caller.profile, self.tickets.put(ticket)
+        number = ticket.number
         if number < 0:
             # The table is full: the caller is told at once, nothing has run.
             self.log("no_room", tickets=len(self.tickets))
@@ -155,10 +163,22 @@
     def ready(self) -> bool:
         """Able to serve: the list has been asked for, and names somebody to send to."""
         asked = self.discovery is not None and self.discovery.tried
-        return asked and bool(self.balancer.ready) and not self.stop_at
+        return asked and bool(self.balancer.ready) and not self.closing()
 
     def closing(self) -> bool:
-        return self.stop_at > 0
+        """Are callers to go elsewhere?"""
+        return self.stop_at > 0 or self.evacuated
+
+    def opened(self) -> None:
+        self.figures.open += 1
+
+    def ended(self) -> None:
+        self.figures.open -= 1
+
+    def shown(self) -> dict:
+        """Of the list: how many upstreams it has, and how many of them nothing is sent to now."""
+        aside = sum(u.aside or u.state is not State.READY for u in self.balancer.upstreams.values())
+        return {"registry_entries": len(self.yard.upstreams), "out_of_rotation": aside}
 
     def listed(self, rows: list[tuple], full: bool) -> None:
         told = []
--- a/dahliabend/net/routing/upstreams.py
+++ b/dahliabend/net/routing/upstreams.py
@@ -56,6 +56,9 @@
 
     # What comes back.
 
+    def written(self) -> None:
+        """All of it is on its way: it may run from now on."""
+
     def answered(self, status: int, never_ran: bool, load: bytes, passed: bytes, body: bytes) -> None:
         if status == 200:
             self.end(Outcome.COMMITTED, (passed, body, load))
--- a/dahliabend/net/transport/descriptors.py
+++ b/dahliabend/net/transport/descriptors.py
@@ -4,6 +4,7 @@
 
 from dahliabend.net.transport.slots import Slots
 
+DOOR = 16  # of the limit: the operators' own, never lent to callers
 OTHERS = 16  # what the program holds beside connections: standard streams, listener, loop, files at the start
 RESERVE = 1 / 16  # of the limit: kept for callers who can only be told that there is no room for a hop
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,7 +6,7 @@
 import socket
 import sys
 import time
-from contextlib import contextmanager, suppress
+from contextlib import ExitStack, contextmanager, suppress
 from queue import Queue
 from subprocess import PIPE, Popen
 from tempfile import NamedTemporaryFile
@@ -179,14 +179,45 @@
         return message and (int(message[0].split()[1]), *message[1:])
 
 
+def free_addresses(count=2):
+    with ExitStack() as stack:
+        servers = [stack.enter_context(socket.create_server(("127.0.0.1", 0))) for _ in range(count)]
+        return [f"127.0.0.1:{server.getsockname()[1]}" for server in servers]
+
+
+def call(admin, path, method="GET", body=b""):
+    """An operator's call: the status and what comes with it."""
+    caller = Caller(admin)
+    caller.sock.sendall(
+        b"%b %b HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (method.encode(), path.encode(), len(body)) + body
+    )
+    status, headers, text = caller.read()
+    assert caller.read() is None  # one call a connection
+    return status, json.loads(text) if "json" in headers.get("content-type", "") else headers
+
+
+def until(check):
+    """Its first true value; asked again until PATIENCE is over."""
+    end = time.monotonic() + PATIENCE
+    while not (value := check()):
+        assert time.monotonic() < end, "it never came"
+        time.sleep(0.01)
+    return value
+
+
 @contextmanager
 def program(*upstreams, ready=True, agent=None, conf=None, **more):
     """A running balancer before these upstreams: its address, its process and its discovery. The process has
     its configuration's `path` and content, and a queue of its log's lines."""
     own = agent or Agent(*(entry(f"s-{n}", u) for n, u in enumerate(upstreams)))
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        address = f"127.0.0.1:{free.getsockname()[1]}"
-    raw = {"listen": address, "discovery": own.address, "settings": {**CONF, **(conf or {})}, **more}
+    address, admin = free_addresses()
+    raw = {
+        "listen": address,
+        "discovery": own.address,
+        "admin": admin,
+        "settings": {**CONF, **(conf or {})},
+        **more,
+    }
     with NamedTemporaryFile("w", suffix=".json") as file:
         json.dump(raw, file)
         file.flush()
@@ -194,7 +225,7 @@
             [sys.executable, "-m", "dahliabend"], stderr=PIPE,
             env={**os.environ, "PROXY_CONFIG": file.name, "PROXY_DISCOVERY": own.address},
         )  # fmt: skip
-        process.path, process.conf, process.log = file.name, raw, Queue()
+        process.path, process.conf, process.log, process.admin = file.name, raw, Queue(), admin
         try:
             first = process.stderr.readline()
             while b'"listening"' not in first:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -25,6 +25,7 @@
     logged,
     program,
     replace,
+    until,
 )
 
 
@@ -90,9 +91,15 @@
 
 
 def test_a_refused_connection_is_a_hop_that_never_ran():
-    dead, up = Upstream(), Upstream()
-    dead.close()
-    with program(dead, up) as (address, _, _):
+    with (
+        socket.socket() as bound,
+        program(up := Upstream(), ready=False, agent=Agent()) as (address, _, agent),
+    ):
+        bound.bind(("127.0.0.1", 0))  # and not listening: nobody else can get this port
+        dead = SimpleNamespace(address=f"127.0.0.1:{bound.getsockname()[1]}")
+        agent.asked.get(timeout=PATIENCE)
+        agent.tell(2, True, entry("s-0", dead), entry("s-1", up))
+        assert until(lambda: is_ready(address) == 200)
         assert [Caller(address).ask("submit", "POST", trace=f"t{n}")[0] for n in range(4)] == [200] * 4
 
 
@@ -395,7 +402,7 @@
 
 
 def test_callers_that_trickle_do_not_keep_others_out():
-    with program(Upstream(), limits={"sockets": 64}) as (address, _, _):
+    with program(Upstream(), limits={"sockets": 80}) as (address, _, _):
         slow = [Caller(address) for _ in range(60)]
         for caller in slow:
             caller.sock.sendall(b"POST /submit HTTP/1.1\r\nX-Tr")
