An upstream that an operator takes out gets nothing until the call back

Checked: out of list changes, removal and return, SIGHUP with other settings (test), no probe or try (test). The module: a process that just started begins with fresh entries; the old one's shares and strikes held on before. Only EXCLUDED is new in model.py: decide.py asks for READY wherever it picks an upstream.

--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -85,6 +85,7 @@
     def begin(self, born: int, now: int, chance: float) -> None:
         """A process just started, or seen for the first time: nothing known of an earlier one holds."""
         self.born, self.pace = born, 1.0
+        self.entries = [Entry() for _ in self.entries]
         self.turn = self.budget = chance  # a random start, else all balancers turn to it at once
         self.heard = self.filled = self.ended = now
         self.aside, self.sounding, self.since, self.strikes, self.answered = False, False, 0, 0, 0
--- a/dahliabend/model.py
+++ b/dahliabend/model.py
@@ -45,11 +45,12 @@
 
 
 class State(IntEnum):
-    """What a list says of an upstream."""
+    """What a list says of an upstream, or an operator."""
 
     GONE = 0
     READY = 1
     DRAINING = 2
+    EXCLUDED = 3  # by an operator, whatever the list says
 
 
 @dataclass(frozen=True, slots=True)
--- a/dahliabend/net/program/operations.py
+++ b/dahliabend/net/program/operations.py
@@ -21,6 +21,8 @@
         self.calls = {
             b"/api/ready": (b"GET", self.ready),
             b"/api/telemetry": (b"GET", self.telemetry),
+            b"/api/exclude": (b"PUT", self.exclude),
+            b"/api/include": (b"PUT", self.include),
             b"/api/evacuate": (b"PUT", self.evacuate),
             b"/api/rejoin": (b"PUT", self.rejoin),
         }
@@ -46,6 +48,21 @@
     def telemetry(self, _: bytes) -> Answer:
         return said(200, **self.program.telemetry())
 
+    def exclude(self, body: bytes, out: bool = True) -> Answer:
+        try:
+            target = orjson.loads(body)["target"]
+        except (ValueError, TypeError, KeyError):
+            return said(400, error="no JSON object with a target")
+        if not isinstance(target, str) or not target:
+            return said(400, error="target: no text, or empty")
+        if not self.program.exclude(target, out):
+            return said(404, error="target: never listed")
+        self.log("excluded" if out else "included", upstream=target[:100])
+        return said(200, target=target, excluded=out)
+
+    def include(self, body: bytes) -> Answer:
+        return self.exclude(body, out=False)
+
     def evacuate(self, _: bytes) -> Answer:
         self.program.evacuate()
         return said(200, evacuated=True)
--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -86,6 +86,9 @@
     def telemetry(self) -> dict:
         return self.figures.shown() | self.router.shown()
 
+    def exclude(self, name: str, out: bool) -> bool:
+        return self.router.exclude(name, out)
+
     def evacuate(self) -> None:
         """Callers go elsewhere; what they have asked for is answered first, and who still comes is served."""
         if not self.router.evacuated:
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -8,7 +8,7 @@
 from dahliabend.net.protocol.callers import Caller
 from dahliabend.net.protocol.discovery import Discovery
 from dahliabend.net.routing.probes import Probe
-from dahliabend.net.routing.upstreams import Errand, Upstream, Yard
+from dahliabend.net.routing.upstreams import MOST_ONCE, Errand, Upstream, Yard
 from dahliabend.net.transport.deadlines import Deadlines, clock
 from dahliabend.net.transport.slots import Slots
 
@@ -60,10 +60,12 @@
         self.balancer = Balancer(node.settings, self, node.seed)
 
     def listed(self, upstreams: list[tuple[Upstream, State]], full: bool) -> None:
+        out = self.router.excluded
         rows = [
-            (u.index, state, u.born, u.weight, u.cell, self.zones.get(u.zone, -1), u.name.encode())
+            (u.index, State.EXCLUDED if u.name in out and state is not State.GONE else state,
+             max(u.born, u.returned), u.weight, u.cell, self.zones.get(u.zone, -1), u.name.encode())
             for u, state in upstreams
-        ]
+        ]  # fmt: skip
         self.balancer.listed(clock(), rows, full)
 
     def probe(self, upstream: int) -> None:
@@ -88,6 +90,7 @@
         self.deadlines, self.yard, self.figures, self.log = deadlines, yard, figures, log
         self.counted = figures.answered
         self.evacuated = False  # an operator has sent the callers elsewhere
+        self.excluded: set[str] = set()  # upstreams that an operator has taken out, by id
         self.discovery: Discovery | None = None
         self.epoch = node.epoch
         self.tickets: Slots[Ticket] = Slots(node.most_held)
@@ -188,10 +191,9 @@
             upstream = self.yard.find(name)
             upstream.state, upstream.weight, upstream.cell, upstream.zone = state, weight, cell, zone
             upstream.born = (started * 1000 + self.epoch or 1) if started else 0
-            if state is State.READY:
-                upstream.use(address)
-            else:
-                upstream.leave()
+            if state is not State.GONE:
+                upstream.move(address)
+            self.admit(upstream)
             told.append((upstream, state))
         for seat in self.seats:  # also those that only end what they have: a drain holds for their hops too
             seat.listed(told, full)
@@ -200,6 +202,31 @@
             if states.get(index, State.GONE if full else None) is State.GONE:
                 self.yard.forget(index)
 
+    def admit(self, upstream: Upstream) -> None:
+        """May connections rest there?"""
+        if upstream.state is State.READY and upstream.name not in self.excluded:
+            upstream.use()
+        else:
+            upstream.leave()
+
+    def exclude(self, name: str, out: bool) -> bool:
+        """Takes an upstream out, or puts it back, whatever the list says meanwhile. False: never listed."""
+        if name not in self.yard.once and name not in self.excluded:
+            return False
+        if out is not (name in self.excluded):
+            if len(self.excluded) >= MOST_ONCE and out:
+                return False  # more than were ever listed at once: a script has gone wild
+            (self.excluded.add if out else self.excluded.discard)(name)
+            upstream = self.yard.upstreams.get(self.yard.indices.get(name, -1))
+            if upstream is not None:
+                # The list may not know yet that it was started again meanwhile: taken for warm, all
+                # balancers would push it over.
+                upstream.returned = upstream.returned if out else clock()
+                self.admit(upstream)
+                for seat in self.seats:
+                    seat.listed([(upstream, upstream.state)], full=False)
+        return True
+
     def list_failed(self) -> None:
         for seat in self.seats:
             seat.balancer.list_failed(clock())
--- a/dahliabend/net/routing/upstreams.py
+++ b/dahliabend/net/routing/upstreams.py
@@ -9,6 +9,8 @@
 from dahliabend.net.transport.deadlines import Deadlines, clock
 from dahliabend.net.transport.descriptors import Descriptors
 
+MOST_ONCE = 4096  # ids remembered: an operator's call may name one that is not listed now
+
 
 class Errand:
     """Something asked of an upstream, with its own deadline. `ended` is called once, never from `start`."""
@@ -107,6 +109,9 @@
         self.address = ("", 0)
         # As the list last had it: other settings read it anew.
         self.state, self.born, self.weight, self.cell, self.zone = State.GONE, 0, 1.0, 0, ""
+        self.returned = (
+            0  # when an operator last put it back: it may have started again since it was taken out
+        )
         self.wanted = False  # may connections rest here?
         self.links: set[Link] = set()
         self.resting: list[Link] = []
@@ -142,12 +147,14 @@
             self.resting.pop(0).shut()
 
     def leave(self) -> None:
-        """Nothing more is sent there: it drains, or is gone."""
+        """Nothing more is sent there: it drains, is gone, or was taken out."""
         self.wanted = False
         self.close_idle(clock())
 
-    def use(self, address: tuple[str, int]) -> None:
+    def use(self) -> None:
         self.wanted = True
+
+    def move(self, address: tuple[str, int]) -> None:
         if address != self.address:
             self.address = address
             for link in self.links:
@@ -166,6 +173,7 @@
         self.rest = rest  # for how long an idle connection is used again
         self.upstreams: dict[int, Upstream] = {}
         self.indices: dict[str, int] = {}
+        self.once: dict[str, None] = {}  # ids ever listed, the latest last
         self.next = 0
 
     def find(self, name: str) -> Upstream:
@@ -174,8 +182,15 @@
             index = self.indices[name] = self.next
             self.next += 1
             self.upstreams[index] = Upstream(self, index, name)
+            self.remember(name)
         return self.upstreams[index]
 
+    def remember(self, name: str) -> None:
+        self.once.pop(name, None)
+        self.once[name] = None
+        if len(self.once) > MOST_ONCE:
+            del self.once[next(iter(self.once))]
+
     def forget(self, index: int) -> None:
         """It has gone. What is still out there keeps its record until it ends."""
         upstream = self.upstreams.pop(index)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -523,3 +523,19 @@
             taken(made, 2, ref=ref)
         logs.append(list(port))
     assert logs[0] == logs[1]
+
+
+def test_an_excluded_upstream_gets_no_hop_probe_or_try_and_comes_back_without_its_shares():
+    made, port = balancer(upstreams=2, balancers=1)
+    u = made.upstreams[0]
+    made.set_aside(u, 100 * S)
+    entry = u.entries[-1]
+    entry.metric, entry.until = 1.0, 900 * S
+    port.clear()
+    made.listed(101 * S, [(0, State.EXCLUDED, 0, 1.0, 0, 0, b"0")], full=False)
+    for n in range(9):
+        made.woken(101 * S + n * S, 0)
+        taken(made, 0, now=101 * S + n * S, ref=n)
+    assert {note[2] for note in port.of("send")} == {1} and not port.of("probe")
+    made.listed(120 * S, [(0, State.READY, 119 * S, 1.0, 0, 0, b"0")], full=False)
+    assert not u.aside and not u.strikes and not u.entries[-1].metric
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,7 +13,7 @@
 from dahliabend.net.protocol.callers import Caller
 from dahliabend.net.protocol.discovery import Book, Discovery
 from dahliabend.net.protocol.upstreams import Link
-from dahliabend.net.routing.router import Router, Ticket
+from dahliabend.net.routing.router import Router, Seat, Ticket
 from dahliabend.net.routing.upstreams import Errand, Yard
 from dahliabend.net.transport.connection import RING, Connection
 from dahliabend.net.transport.deadlines import Deadlines, clock
@@ -208,11 +208,12 @@
 
 def test_a_new_address_ends_what_rests_at_the_old_one():
     upstream = yard().find("s-1")
-    upstream.use(("127.0.0.1", 1))
+    upstream.use()
+    upstream.move(("127.0.0.1", 1))
     link, busy = (Link(upstream.yard.descriptors, upstream) for _ in range(2))
     upstream.links |= {link, busy}
     upstream.free(link)
-    upstream.use(("127.0.0.1", 2))
+    upstream.move(("127.0.0.1", 2))
     assert link.closed and not busy.closed and not busy.keep
 
 
@@ -222,7 +223,8 @@
             self[:] = [(u.index, u.name) for u, _ in rows]
 
     told, all_of = Told(), yard()
-    desk = SimpleNamespace(yard=all_of, epoch=0, seats=[told])
+    desk = SimpleNamespace(yard=all_of, epoch=0, seats=[told], excluded=set())
+    desk.admit = lambda upstream: Router.admit(desk, upstream)
     row = ("s-1", ("127.0.0.1", 1), State.READY, 0, 1.0, 0, "a")
     Router.listed(desk, [row], True)
     upstream = all_of.find("s-1")
@@ -416,3 +418,24 @@
     when = clock() + 10 * MS + 400
     deadlines.at(when, print)
     assert waits[0] * 1000 == round(waits[0] * 1000) and clock() + waits[0] * S >= when
+
+
+def test_what_an_operator_put_back_counts_as_just_started_until_the_list_knows_better():
+    told, all_of = [], yard()
+    seat = SimpleNamespace(
+        zones={}, balancer=SimpleNamespace(listed=lambda now, rows, full: told.append(rows[0]))
+    )
+    desk = SimpleNamespace(yard=all_of, epoch=0, seats=[seat], excluded=set())
+    seat.router, seat.listed = desk, lambda rows, full: Seat.listed(seat, rows, full)
+    desk.admit = lambda upstream: Router.admit(desk, upstream)
+    row = ["s-1", ("127.0.0.1", 1), State.READY, 5, 1.0, 0, "a"]
+    Router.listed(desk, [row], True)
+    assert Router.exclude(desk, "s-1", True) and not Router.exclude(desk, "s-2", True)
+    assert [u[1] for u in told] == [State.READY, State.EXCLUDED] and not all_of.find("s-1").wanted
+    back = clock()
+    assert Router.exclude(desk, "s-1", False) and all_of.find("s-1").wanted
+    Router.listed(desk, [row], False)  # the list has not heard of a restart
+    assert [u[1] for u in told[2:]] == [State.READY] * 2 and told[2][2] == told[3][2] >= back
+    row[3] = (clock() + S) // 1000
+    Router.listed(desk, [row], False)
+    assert told[4][2] == row[3] * 1000
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -3,7 +3,20 @@
 from threading import Event
 
 import pytest
-from helpers import PATIENCE, Caller, Upstream, answer, call, is_ready, logged, program, replace, until
+from helpers import (
+    PATIENCE,
+    Agent,
+    Caller,
+    Upstream,
+    answer,
+    call,
+    entry,
+    is_ready,
+    logged,
+    program,
+    replace,
+    until,
+)
 
 from dahliabend.net.program.figures import MOST, Figures
 
@@ -17,7 +30,10 @@
     [
         ("GET", "/api/other", b"", 404), ("PUT", "/api/telemetry", b"", 405),
         ("GET", "/api/evacuate", b"", 405),
-        ("PUT", "/api/rejoin", b"x" * 9000, 413),
+        ("PUT", "/api/rejoin", b"x" * 9000, 413), ("PUT", "/api/exclude", b"", 400),
+        ("PUT", "/api/exclude", b"[1]", 400), ("PUT", "/api/exclude", b'{"target":', 400),
+        ("PUT", "/api/include", b"{}", 400), ("PUT", "/api/exclude", b'{"target":7}', 400),
+        ("PUT", "/api/exclude", b'{"target":"s-9"}', 404), ("PUT", "/api/include", b'{"target":"s-9"}', 404),
     ],
 )  # fmt: skip
 def test_a_faulty_call_gets_a_plain_no_and_changes_nothing(served, method, path, body, status):
@@ -131,3 +147,34 @@
         again = Caller(address)
         assert is_ready(address) == 200 and "connection" not in again.ask(trace="a")[1]
         assert again.ask(trace="a2")[0] == 200
+
+
+def test_an_excluded_upstream_gets_nothing_until_it_is_put_back_whatever_the_list_says():
+    one, two = Upstream(), Upstream()
+    agent = Agent(entry("s-1", one), entry("s-2", two))
+    with program(one, two, agent=agent) as (address, process, _):
+        caller, target = Caller(address), b'{"target":"s-1"}'
+
+        def serves(count=8):
+            return [caller.ask(trace=f"t{n}")[0] for n in range(count)] == [200] * count
+
+        def listed(version, *servers, full=False):
+            agent.tell(version, full, *servers)
+            while logged(process, "list")["version"] < version:
+                pass
+
+        assert serves() and one.came.qsize()
+        assert [call(process.admin, "/api/exclude", "PUT", target)[0] for _ in range(3)] == [200] * 3
+        assert one.ended.get(timeout=PATIENCE)  # its idle connections close
+        one.came.queue.clear()
+        listed(2, entry("s-1", one, "draining"))
+        listed(3, {"id": "s-1", "state": "removed"})
+        assert serves() and telemetry(process)["out_of_rotation"] == 0
+        listed(4, entry("s-1", one))
+        listed(5, entry("s-1", one), entry("s-2", two), full=True)
+        replace(process, settings={**process.conf["settings"], "balancers": 3})
+        logged(process, "switched")
+        assert serves() and one.came.empty() and telemetry(process)["out_of_rotation"] == 1
+        assert call(process.admin, "/api/include", "PUT", target)[0] == 200  # once, however often it was out
+        until(lambda: serves() and not one.came.empty())
+        assert telemetry(process)["out_of_rotation"] == 0
