A successor inherits the listener, the list, exclusions and what is known; locks tell who lives

What is known goes out as plain values (known) and comes in through follow, for a switch of settings and an upgrade alike; the crowd carries where goals' window, tier and number of balancers are the same.

--- a/dahliabend/config.py
+++ b/dahliabend/config.py
@@ -3,6 +3,7 @@
 A fault is a `ValueError` whose one line names the key.
 """
 
+import os
 import time
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -112,6 +113,8 @@
     listen: tuple[str, int]
     discovery: tuple[str, int]
     admin: tuple[str, int] | None  # where operators call
+    inherited: int | None  # the callers' listener, where the platform holds it
+    shared: str  # the folder of all processes that have it; empty: there is one only
     seed: int
     sockets: int
     known: dict  # the list as this balancer last had it, in discovery's form
@@ -193,12 +196,20 @@
     except ValueError:
         raise ValueError(f"seed: {node.seed!r} is no hexadecimal number") from None
     admin = environment.get("PROXY_ADMIN") or node.admin
+    given = environment.get("PROXY_FD", "")
+    if given and not (given.isascii() and given.isdigit() and len(given) < 10):
+        raise ValueError(f"PROXY_FD: {given!r} is no descriptor's number")
+    inherited = int(given) if given else None
     unmet = {"caps.max-streams": conf.caps.max_streams > 1, "caps.may-tell": conf.caps.may_tell}
     return Node(
         name=environment.get("PROXY_NAME") or node.name or "dahliabend",
         listen=_address("listen", environment.get("PROXY_LISTEN") or node.listen),
         discovery=_address("discovery", environment.get("PROXY_DISCOVERY") or node.discovery),
         admin=_address("admin", admin) if admin else None,
+        inherited=inherited,
+        shared=os.path.join(environment.get("TMPDIR") or "/tmp", "dahliabend")
+        if inherited is not None
+        else "",
         seed=seed,
         sockets=node.limits.sockets,
         known=node.known,
--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -34,6 +34,9 @@
 RECENT = 1 / 6  # the same for the pace of an upstream, which gets few hops
 SET = 2  # upstreams in use at the least, of each side of a zone border that costs
 FORGET = 1 / 1024  # by which the least hop time seen creeps up at each look
+# What holds on for decisions that follow: of an upstream, its start first, and of the crowd.
+CARRIED = "born", "pace", "heard", "answered", "turn", "aside", "since", "strikes", "budget", "filled"
+CROWD = "ceiling", "crowd", "borne", "stretch", "low", "took"
 
 
 def blend(mean: float, sample: float, weight: float = MEMORY) -> float:
@@ -159,6 +162,7 @@
         self.beat = max(1000, round(min(p.service_goal for p in s.profiles) * BEAT))
         self.window = self.beat * WINDOW
         self.span = self.validity = round(self.window * VALIDITY)  # the least, and as long as the floor needs
+        self.shape = [s.balancers, s.tier, self.window]
         top = max(p.revenue for p in s.profiles) or 1.0
         # Revenue decides the less, the more the worst-served profile weighs beside the whole.
         bias = s.whole_weight / ((s.whole_weight + s.class_weight) or 1.0)
@@ -208,22 +212,38 @@
         self.reach = self.reach or max(SET, self.most if self.most >= self.balancers else 0)
         self.narrow()
 
-    def follow(self, before: "Balancer", same: list[tuple[int, int]]) -> int:
-        """Takes over from decisions under other settings; `same` pairs their profiles. Returns of how
-        many upstreams what is known holds on. What hangs on goals, limits or sizes starts afresh."""
-        for profile, was in same:
-            self.usual[profile] = before.usual[was]
-        self.gap, kept = before.gap, 0
+    def known(self, ends: bool) -> dict:
+        """What is known, in plain values, for decisions that follow, here or in another process; `ends`:
+        these take nothing more. One budget: else a cold upstream could be sent twice what it bears."""
+        upstreams = {}
         for index, u in self.upstreams.items():
-            known = before.upstreams.get(index)
-            if known is None or known.born != u.born:
-                continue
-            kept += 1
-            u.pace, u.heard, u.answered, u.turn = known.pace, known.heard, known.answered, known.turn
-            # All balancers that move at once would rush to the upstreams that each had set aside.
-            u.aside, u.since, u.strikes = known.aside, known.since, known.strikes
-            # One budget: with two at a time a cold upstream could be sent twice what it bears.
-            u.budget, u.filled, known.budget = known.budget, known.filled, float("-inf")
+            u.budget /= 1 if ends else 2
+            upstreams[index] = [getattr(u, name) for name in CARRIED]
+            u.budget = float("-inf") if ends else u.budget
+        crowd = [getattr(self, name) for name in CROWD]
+        return {
+            "shape": self.shape,
+            "usual": self.usual,
+            "gap": self.gap,
+            "crowd": crowd,
+            "upstreams": upstreams,
+        }
+
+    def follow(self, known: dict, same: list[tuple[int, int]]) -> int:
+        """Takes over from others; `same` pairs the profiles. Returns of how many upstreams what is known
+        holds on. What hangs on goals, limits or sizes starts afresh where these are other ones."""
+        for profile, was in same:
+            self.usual[profile] = known["usual"][was]
+        self.gap, kept = known["gap"], 0
+        if known["shape"] == self.shape:  # the crowd let in would grow anew from its start
+            for name, value in zip(CROWD, known["crowd"], strict=True):
+                setattr(self, name, value)
+        for index, values in known["upstreams"].items():
+            u = self.upstreams.get(index)
+            if u is not None and u.born == values[0]:  # the same process still
+                kept += 1
+                for name, value in zip(CARRIED, values, strict=True):
+                    setattr(u, name, value)
         self.narrow()
         return kept
 
--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -7,6 +7,7 @@
 
 from dahliabend.config import Node, reread_node
 from dahliabend.net.program.figures import Figures
+from dahliabend.net.program.handover import Handover
 from dahliabend.net.program.log import Log
 from dahliabend.net.program.operations import Operations
 from dahliabend.net.protocol.callers import Caller
@@ -25,6 +26,8 @@
 CALLER_REST = 2_000_000  # a caller's connection idle for longer is closed
 SWEEP = CALLER_REST // 4  # how often these are looked for
 HELD_BACK = (signal.SIGHUP,)  # from the start until it can be acted on
+GLANCE = 100_000  # how often another process is looked for
+TAKE_OVER = 1_000_000  # how long one that was there before is waited for
 BEAT = 5_000_000  # how often the log gets a line of figures
 
 
@@ -38,7 +41,7 @@
         self.figures = Figures()
         yard = Yard(self.deadlines, self.descriptors, node.dial_time, node.rest, log.debug)
         self.router = Router(node, self.deadlines, yard, self.figures, log)
-        book = Book(self.router, log)
+        self.book = book = Book(self.router, log)
         self.discovery = self.router.discovery = Discovery(
             node.discovery, book, self.deadlines, self.descriptors, node.dial_time,
             self.router.balancer.chance, log,
@@ -46,6 +49,10 @@
         self.listener = Listener(self.deadlines, self.descriptors, self.accept)
         self.door, self.operations = Descriptors(OTHERS + DOOR), Operations(self, log)
         self.door_listener = Listener(self.deadlines, self.door, self.accept_operator)
+        self.inherited = node.inherited
+        self.handover = Handover(node.shared, log) if node.shared else None
+        self.older: list[tuple[int, int]] = []  # processes that were there before
+        self.halved = False  # does another process live on half of the descriptors?
         self.patience, self.terms = max(node.longest), node.terms
         self.tell_unmet(node.unmet)
         if node.known:
@@ -58,10 +65,15 @@
             loop.add_signal_handler(number, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD_BACK)  # one that came during the start is not missed
-        self.listener.open(self.listen)
         if self.admin:
             self.door_listener.open(self.admin)
+        if self.handover is not None:
+            await self.take_over()
         self.discovery.open()
+        if self.inherited is None:
+            self.listener.open(self.listen)
+        else:
+            self.listener.inherit(self.inherited)
         self.log("listening", address=":".join(map(str, self.listen)), entrance=self.router.balancer.entrance)
         # What the start made stays: no pause is spent on walking it again.
         gc.collect()
@@ -78,6 +90,58 @@
     def accept_operator(self) -> Operator:
         return Operator(self.door, self.deadlines, self.operations)
 
+    # Beside another process.
+
+    async def take_over(self) -> None:
+        """From the one in service, if there is one, before callers are taken."""
+        try:
+            self.handover.open()
+        except OSError as error:  # it serves without, and an upgrade starts afresh
+            self.handover = None
+            return self.log("handover.none", why=str(error))
+        self.look_around(again=False)
+        until, state = clock() + TAKE_OVER, None
+        while self.older and clock() < until and not (state := self.handover.received()):
+            await asyncio.sleep(GLANCE / 1e6 / 4)
+            self.look_around(again=False)
+        if self.older and state:
+            try:
+                self.go_on_from(state)
+            except (KeyError, TypeError, ValueError, AttributeError) as error:
+                self.log("handover.unread", why=repr(error))
+        self.look_around()
+
+    def go_on_from(self, state: dict) -> None:
+        self.router.epoch = state["epoch"]  # else the same start would look like another one
+        for name in state["once"]:
+            self.router.yard.remember(name)
+        for name, when in state["returned"].items():
+            self.router.yard.find(name).returned = when
+        self.book.read(state["list"], first=True)
+        kept = self.router.follow(state)
+        self.discovery.move(tuple(state["discovery"]))
+        self.discovery.tried = True  # it has been asked already, by the one before
+        self.log("followed", kept=kept, upstreams=len(self.router.yard.upstreams))
+
+    def look_around(self, again: bool = True) -> None:
+        """Who else is there, and what has an operator told the other?"""
+        if again:
+            self.deadlines.at(clock() + GLANCE, self.look_around)
+        living = self.handover.living()
+        self.older = [key for key in living if key < self.handover.key]
+        newer = [key for key in living if key > self.handover.key]
+        if bool(living) != self.halved:
+            self.halved = not self.halved  # to the limits both are one balancer
+            self.descriptors.lend(1 / 2 if self.halved else 1)
+        excluded = self.handover.excluded()
+        for name in excluded ^ self.router.excluded:
+            self.router.yard.remember(name)
+            self.router.exclude(name, name in excluded)
+        if again and newer:
+            servers = {"version": self.book.version, "full": True, "servers": self.router.servers()}
+            state = {"list": servers, "discovery": self.discovery.address}
+            self.handover.hand(newer[-1], lambda: self.router.known() | state)
+
     # What operators ask for.
 
     def ready(self) -> bool:
@@ -87,7 +151,10 @@
         return self.figures.shown() | self.router.shown()
 
     def exclude(self, name: str, out: bool) -> bool:
-        return self.router.exclude(name, out)
+        known = self.router.exclude(name, out)
+        if known and self.handover is not None:
+            self.handover.exclude(name, out)
+        return known
 
     def evacuate(self) -> None:
         """Callers go elsewhere; what they have asked for is answered first, and who still comes is served."""
@@ -162,7 +229,7 @@
         self.router.stop_by(now + min(self.patience, LONGEST_STOP) + MARGIN - IN_HAND)
         # Callers go elsewhere as soon as their connections close; those with a request are answered first.
         self.let_go()
-        self.deadlines.at(now + ACCEPTING, self.stop_accepting)
+        self.deadlines.at(now + (0 if self.listener.shared else ACCEPTING), self.stop_accepting)
 
     def let_go(self) -> list[Caller]:
         """Closes callers' connections between requests; those that were there."""
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -117,8 +117,37 @@
         self.seats = [seat for seat in self.seats if seat.held]
         self.seat(node)
         self.seats[-1].listed([(u, u.state) for u in self.yard.upstreams.values()], full=True)
-        same = [(new, profiles[name]) for name, new in node.profiles.items() if name in profiles]
-        return self.balancer.follow(before, same)
+        return self.balancer.follow(before.known(ends=True), self.pairs(profiles))
+
+    def pairs(self, before: dict[bytes, int]) -> list[tuple[int, int]]:
+        return [(new, before[name]) for name, new in self.profiles.items() if name in before]
+
+    def known(self) -> dict:
+        """What a successor in another process goes on from, upstreams and profiles by name."""
+        known, upstreams = self.balancer.known(ends=False), self.yard.upstreams
+        known["upstreams"] = {upstreams[i].name: values for i, values in known["upstreams"].items()}
+        return known | {
+            "epoch": self.epoch,
+            "profiles": {name.decode("latin-1"): number for name, number in self.profiles.items()},
+            "returned": {u.name: u.returned for u in upstreams.values() if u.returned},
+            "once": list(self.yard.once),
+        }
+
+    def follow(self, known: dict) -> int:
+        """Goes on from that; of how many upstreams what is known holds on."""
+        indices = self.yard.indices
+        upstreams = {indices[name]: values for name, values in known["upstreams"].items() if name in indices}
+        profiles = {name.encode("latin-1"): number for name, number in known["profiles"].items()}
+        return self.balancer.follow({**known, "upstreams": upstreams}, self.pairs(profiles))
+
+    def servers(self) -> list[dict]:
+        """The list as it stands, in discovery's form."""
+        return [
+            {"id": u.name, "addr": f"{u.address[0]}:{u.address[1]}", "zone": u.zone, "cell": u.cell,
+             "weight": u.weight, "state": "up" if u.state is State.READY else "draining",
+             "started_ms": (u.born - self.epoch) // 1000 if u.born else 0}
+            for u in self.yard.upstreams.values()
+        ]  # fmt: skip
 
     # What callers and the list bring.
 
--- a/dahliabend/net/transport/descriptors.py
+++ b/dahliabend/net/transport/descriptors.py
@@ -25,12 +25,23 @@
 
     def __init__(self, limit: int) -> None:
         self.connections: Slots = Slots(limit - OTHERS)
-        self.room = limit - OTHERS - max(8, round(limit * RESERVE))
         self.idle: dict[int, int] = {}  # number: since when
-        self.slow: dict[
-            int, int
-        ] = {}  # number of one that owes the rest of a request: when it counts as slow
+        self.slow: dict[int, int] = {}  # of those that owe the rest of a request: when they count as slow
         self.leaving: set[int] = set()  # told to go, not yet closed
+        self.reserve = max(8, round(limit * RESERVE))
+        self.lend(1)
+
+    def lend(self, part: float) -> None:
+        """Only so much is this process's, another lives on the rest. Idle connections beyond are closed."""
+        self.most = round(self.connections.size * part)
+        self.room = max(1, self.most - self.reserve)
+        for number in tuple(self.idle):
+            connection = self.connections.get(number)
+            if not self.crowded:
+                break
+            if connection.may_go():
+                self.leaving.add(number)
+                connection.shut()
 
     def full(self, now: int = 0) -> bool:
         """Is none left but the reserve? Then the oldest idle connection is told to go, and makes room."""
@@ -52,7 +63,7 @@
 
     def exhausted(self) -> bool:
         """Is even the reserve gone?"""
-        return len(self.connections) >= self.connections.size
+        return len(self.connections) >= self.most
 
     def take(self, connection) -> int:
         return self.connections.put(connection)
--- a/dahliabend/net/transport/listener.py
+++ b/dahliabend/net/transport/listener.py
@@ -23,6 +23,7 @@
     ) -> None:
         self.deadlines, self.descriptors, self.accepted = deadlines, descriptors, accepted
         self.sock: socket.socket | None = None
+        self.shared = False  # do others hold it too?
         self.starting: set[asyncio.Task] = set()
 
     def open(self, address: tuple[str, int]) -> None:
@@ -39,6 +40,15 @@
         self.sock = sock
         self.go_on()
 
+    def inherit(self, number: int) -> None:
+        """One that others hold too; it listens already. OSError where it is no such thing."""
+        sock = socket.socket(fileno=number)
+        if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise OSError(f"PROXY_FD: {number} does not listen")
+        sock.setblocking(False)
+        self.sock, self.shared = sock, True
+        self.go_on()
+
     def go_on(self) -> None:
         if self.sock is not None:
             self.deadlines.loop.add_reader(self.sock.fileno(), self.come_in)
@@ -75,9 +85,11 @@
                     sock.close()
 
     def close(self) -> None:
-        """Accepts no more. What the system has accepted by now is still taken in."""
+        """Accepts no more. What the system has accepted by now is still taken in, but where others go on
+        accepting: it is theirs. Only this copy is closed; shut down, the socket would end for all."""
         if self.sock is not None:
-            self.come_in()
+            if not self.shared:
+                self.come_in()
             self.deadlines.loop.remove_reader(self.sock.fileno())
             self.sock.close()
             self.sock = None
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -206,11 +206,16 @@
 
 
 @contextmanager
-def program(*upstreams, ready=True, agent=None, conf=None, **more):
+def program(*upstreams, ready=True, agent=None, conf=None, beside=None, **more):
     """A running balancer before these upstreams: its address, its process and its discovery. The process has
-    its configuration's `path` and content, and a queue of its log's lines."""
+    its configuration's `path` and content, and a queue of its log's lines. `beside`: a listening socket that
+    it inherits, and the folder that it shares; discovery and upstreams are then left open."""
     own = agent or Agent(*(entry(f"s-{n}", u) for n, u in enumerate(upstreams)))
     address, admin = free_addresses()
+    env, passed = {"PROXY_DISCOVERY": own.address}, ()
+    if beside:
+        address, passed = f"127.0.0.1:{beside[0].getsockname()[1]}", (beside[0].fileno(),)
+        env |= {"PROXY_FD": str(passed[0]), "TMPDIR": beside[1]}
     raw = {
         "listen": address,
         "discovery": own.address,
@@ -222,31 +227,33 @@
         json.dump(raw, file)
         file.flush()
         process = Popen(
-            [sys.executable, "-m", "dahliabend"], stderr=PIPE,
-            env={**os.environ, "PROXY_CONFIG": file.name, "PROXY_DISCOVERY": own.address},
+            [sys.executable, "-m", "dahliabend"], stderr=PIPE, pass_fds=passed,
+            env={**os.environ, "PROXY_CONFIG": file.name, **env},
         )  # fmt: skip
         process.path, process.conf, process.log, process.admin = file.name, raw, Queue(), admin
         try:
-            first = process.stderr.readline()
+            first = b""
             while b'"listening"' not in first:
-                assert first, "it ended at its start"
                 first = process.stderr.readline()
+                assert first, "it ended at its start"
+                process.log.put(first)
             Thread(target=lambda: [process.log.put(line) for line in process.stderr], daemon=True).start()
             end = time.monotonic() + PATIENCE
-            while ready and is_ready(address) != 200:
+            while ready and call(admin, "/api/ready")[0] != 200:
                 assert time.monotonic() < end, "never ready"
             yield address, process, own
         finally:
             process.kill()
             process.wait()
-            for server in (own, *upstreams):
+            for server in () if beside else (own, *upstreams):
                 server.close()
 
 
 def logged(process, event):
     """The next line of that event in the program's log."""
+    end = time.monotonic() + PATIENCE
     while (line := json.loads(process.log.get(timeout=PATIENCE)))["event"] != event:
-        pass
+        assert time.monotonic() < end, f"never logged: {event}"
     return line
 
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -482,7 +482,7 @@
     old.upstreams[0].pace, old.upstreams[2].born, old.upstreams[2].pace = 3.0, T - S, 3.0
     old.set_aside(old.upstreams[1], T)
     made, port = balancer(upstreams=4, balancers=90, profiles=(ONCE, MARKED, FREE), may_probe=False)
-    assert made.follow(old, [(0, 1), (2, 0)]) == 3
+    assert made.follow(old.known(ends=True), [(0, 1), (2, 0)]) == 3
     assert made.usual == [9 * MS, 0, 7 * MS] and made.gap == S
     assert made.upstreams[0].pace == 3 and made.upstreams[2].pace == 1  # started again: nothing holds
     assert made.ceiling != 99 and made.credit == 1
@@ -507,7 +507,7 @@
     old, before = balancer(upstreams=1, born=T, balancers=1, may_probe=False)
     made, port = balancer(upstreams=1, born=T, balancers=1, may_probe=False)
     old.upstreams[0].budget = made.upstreams[0].budget = 1.0
-    made.follow(old, [])
+    made.follow(old.known(ends=True), [])
     for ref in range(5):
         assert old.warmth(old.upstreams[0], T + S) == 0
         taken(made, 0, ref=ref)
@@ -539,3 +539,11 @@
     assert {note[2] for note in port.of("send")} == {1} and not port.of("probe")
     made.listed(120 * S, [(0, State.READY, 119 * S, 1.0, 0, 0, b"0")], full=False)
     assert not u.aside and not u.strikes and not u.entries[-1].metric
+
+
+def test_two_processes_share_the_budget_of_a_cold_upstream_and_the_crowd_let_in():
+    old, _ = balancer(upstreams=1, born=T)
+    made, _ = balancer(upstreams=1, born=T)
+    old.upstreams[0].budget, old.ceiling = 1.0, 99.0
+    made.follow(old.known(ends=False), [(0, 0)])
+    assert old.upstreams[0].budget + made.upstreams[0].budget == 1 and made.ceiling == 99
