What the other process has in flight counts in the crowd; an accepted connection is never idle

Seen in n0's and n1's figures: 17 to 28 hops held by the old process while the new one let in 28 more, and both bounds ramped by 3/2 as after a start, then hops of 0.5 s took 1.5 s on all upstreams together. Lines at fault: follow carried the bound but neither beats nor pressed; take knew only its own hops. Ruled out: cold upstreams (2 to 5 full answers), calls (52, none late), the door (0 turned back). Second: a new connection could be closed unanswered at SIGTERM (one in some thousands in the test): Caller.since was 0 until its transport was up, which let_go takes for idle. It is set on accepting now.

--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -36,7 +36,7 @@
 FORGET = 1 / 1024  # by which the least hop time seen creeps up at each look
 # What holds on for decisions that follow: of an upstream, its start first, and of the crowd.
 CARRIED = "born", "pace", "heard", "answered", "turn", "aside", "since", "strikes", "budget", "filled"
-CROWD = "ceiling", "crowd", "borne", "stretch", "low", "took"
+CROWD = "ceiling", "crowd", "borne", "stretch", "low", "took", "beats", "pressed"
 
 
 def blend(mean: float, sample: float, weight: float = MEMORY) -> float:
@@ -181,6 +181,7 @@
         self.out, self.ceiling, self.crowd, self.borne, self.others = 0, 0.0, 0.0, 0.0, 1 - 1 / s.balancers
         self.weighed = self.served = self.last_heard = self.beats = self.sent = self.first_tries = 0
         self.held_back = self.pressed = self.awake = False
+        self.beside = 0  # hops in flight of another process that is the same balancer to its upstreams
         self.send_rate, self.credit = 0.0, 1.0  # hops a microsecond; retries to spend
 
     def listed(self, now: int, rows, full: bool) -> None:
@@ -269,8 +270,9 @@
             limit = self.ceiling * (EQUAL + (1 - EQUAL) * tx.value)
             # Crowded upstreams choke before they refuse: they count as full above the crowd they bear, with
             # room for chance where balancers are many: else each refuses what all together could serve.
-            self.crowd = blend(self.crowd, self.out)
-            if self.out >= limit + ((limit * self.others) ** 0.5 if self.crowd < limit else 0.0):
+            out = self.out + self.beside
+            self.crowd = blend(self.crowd, out)
+            if out >= limit + ((limit * self.others) ** 0.5 if self.crowd < limit else 0.0):
                 self.held_back = True
                 self.give_up(tx)
                 return tx
@@ -523,7 +525,7 @@
         if self.pressed:
             self.ceiling = max(SHRINK, change) * min(self.ceiling, max(self.out, self.crowd))
         else:
-            self.borne = blend(self.borne, self.out)
+            self.borne = blend(self.borne, self.out + self.beside)
             if self.held_back:
                 self.ceiling *= min(RAMP if self.beats <= WINDOW * VALIDITY else GROW, change)
         self.ceiling = max(self.ceiling, LEAST * len(self.ready) / self.balancers, self.borne / 2)
--- a/dahliabend/net/program/handover.py
+++ b/dahliabend/net/program/handover.py
@@ -4,6 +4,7 @@
 passed over.
 """
 
+import contextlib
 import fcntl
 import os
 from collections.abc import Callable
@@ -30,8 +31,9 @@
         """Takes a place behind those that live; what the dead have left goes. OSError: it has no folder."""
         self.bans.mkdir(parents=True, exist_ok=True)
         living = self.living()
-        for path in self.folder.glob("for-*"):
-            path.unlink(missing_ok=True)  # for one that is gone: those that live have read theirs
+        for path in (*self.folder.glob("for-*"), *self.folder.glob("out-*")):
+            if not any(path.name.endswith(f"-{number}-{pid}") for number, pid in living):
+                path.unlink(missing_ok=True)
         self.key = (max((n for n, _ in living), default=0) + 1, os.getpid())
         fresh = self.folder / f"new-{os.getpid()}"
         self.lock = os.open(fresh, os.O_RDWR | os.O_CREAT, 0o600)
@@ -96,6 +98,19 @@
         except OSError as error:
             self.log("handover.unwritten", why=str(error))
 
+    # What is in flight.
+
+    def tell(self, out: int) -> None:
+        self.write(f"out-{self.key[0]}-{self.key[1]}", out)
+
+    def beside(self, living: list[tuple[int, int]]) -> int:
+        """Hops in flight of the others: to upstreams all are one balancer."""
+        total = 0
+        for number, pid in living:
+            with contextlib.suppress(OSError, ValueError):  # not told yet, or ended meanwhile
+                total += int((self.folder / f"out-{number}-{pid}").read_bytes())
+        return total
+
     # Exclusions.
 
     def excluded(self) -> set[str]:
--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -133,6 +133,9 @@
         if bool(living) != self.halved:
             self.halved = not self.halved  # to the limits both are one balancer
             self.descriptors.lend(1 / 2 if self.halved else 1)
+        if living:
+            self.handover.tell(self.router.out())
+        self.router.balancer.beside = self.handover.beside(living)
         excluded = self.handover.excluded()
         for name in excluded ^ self.router.excluded:
             self.router.yard.remember(name)
--- a/dahliabend/net/protocol/callers.py
+++ b/dahliabend/net/protocol/callers.py
@@ -45,7 +45,9 @@
         self.serving = self.keep = self.last = self.served = False
         self.fault = 0  # the status that ends this connection, once all before it is answered
         self.stalled: list | None = None  # the deadline of a request half come, or of an answer half gone
-        self.since = 0  # when it was opened, until its first answer
+        # When it was opened, until its first answer. From the accepting on: one whose transport is not up yet
+        # was closed at SIGTERM as if idle, and the request on it lost.
+        self.since = clock()
         self.began = 0  # when the first byte of the request now coming came
         self.unread = 0  # bytes since the parser last made something of them
         self.fresh()
@@ -58,7 +60,6 @@
         super().connection_made(transport)
         # A fresh connection was opened for a request that may be here already: it is not idle, whatever the
         # budget; closed now, that request would be lost.
-        self.since = clock()
         self.expect(self.since)
 
     def expect(self, since: int) -> None:
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -140,6 +140,10 @@
         profiles = {name.encode("latin-1"): number for name, number in known["profiles"].items()}
         return self.balancer.follow({**known, "upstreams": upstreams}, self.pairs(profiles))
 
+    def out(self) -> int:
+        """Hops in flight, of all sets of decisions."""
+        return sum(seat.balancer.out for seat in self.seats)
+
     def servers(self) -> list[dict]:
         """The list as it stands, in discovery's form."""
         return [
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -547,3 +547,11 @@
     old.upstreams[0].budget, old.ceiling = 1.0, 99.0
     made.follow(old.known(ends=False), [(0, 0)])
     assert old.upstreams[0].budget + made.upstreams[0].budget == 1 and made.ceiling == 99
+
+
+def test_what_another_process_has_in_flight_counts_in_the_crowd_let_in():
+    made, port = balancer(upstreams=1, balancers=1)
+    made.ceiling, made.beside = 8.0, 8
+    assert taken(made, 0).done and not port.of("send")  # two processes let in what one may
+    made.beside = 0
+    assert not taken(made, 0, ref=2).done
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -439,3 +439,9 @@
     row[3] = (clock() + S) // 1000
     Router.listed(desk, [row], False)
     assert told[4][2] == row[3] * 1000
+
+
+def test_a_connection_accepted_but_not_yet_up_is_not_let_go_as_idle():
+    caller = Caller(Descriptors(100), yard().deadlines, DESK, S)
+    caller.let_go(clock() - S // 2)
+    assert not caller.closed
