--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -107,7 +107,8 @@
 class Transaction:
     """The handle of a transaction taken."""
 
-    def __init__(self, home, ref: int, profile: int, deadline: int) -> None:
+    def __init__(self, home, ref: int, profile: int, deadline: int, coming: bool) -> None:
+        self.coming, self.spent, self.flowing = coming, False, False
         self.home, self.ref, self.profile, self.end = home, ref, profile, deadline
         self.kind, self.value = home.profiles[profile], home.values[profile]
         self.hops, self.out, self.done = [], 0, False
@@ -123,9 +124,10 @@
     def repeatable(self, now: int) -> bool:
         """May it be sent again? None has an effect twice, and never are two hops out at once."""
         risk, effect = self.risk(), self.kind.effect
-        if not risk or effect is Effect.IDEMPOTENT:
-            return not self.out
-        return effect is Effect.JOURNALLED and not self.out and now < risk.sent + self.kind.repeat_window
+        if self.spent or self.out:
+            return False
+        journalled = effect is Effect.JOURNALLED and risk and now < risk.sent + self.kind.repeat_window
+        return not risk or effect is Effect.IDEMPOTENT or journalled
 
     def returned(self, now, number: int, outcome: Outcome, took: int, complete: bool, idle=None) -> None:
         hop = self.hops[number]
@@ -142,7 +144,18 @@
 
     def begun(self, now: int, number: int) -> None:
         """A streamed answer has started: the client has it, so its hop is not called off any more."""
-        self.hops[number].upstream.held.pop(self, None)
+        self.flowing = True
+        self.home.let_out(self, self.hops[number].upstream)
+
+    def passed_by(self) -> None:
+        self.spent = True  # a part of its body is gone: there is nothing whole to send once more
+
+    def arrived(self, now: int, deadline: int) -> int:
+        """The hop out has had the last byte: it begins now, whatever the sending took. Its time-out."""
+        self.coming, self.end, hop = False, self.home.limit(self, now, deadline), self.hops[-1]
+        hop.sent = now
+        self.home.let_in(self, hop)
+        return self.home.hop_time(self, now)
 
     def left(self, now: int) -> None:
         self.done = True
@@ -258,12 +271,11 @@
         if self.ask_again:  # after a while, at random: a registry that failed under load is not stormed
             self.port.wake(now + round(self.ask_again * (1 + self.chance()) / 2), 1)
 
-    def take(self, now, ref, profile, customer, deadline, repeat=False) -> Transaction:
-        tx = Transaction(self, ref, profile, deadline)
+    def take(self, now, ref, profile, customer, deadline, repeat=False, coming=False) -> Transaction:
+        tx = Transaction(self, ref, profile, deadline, coming)
         self.first_tries += not repeat
         if self.entrance:
-            if not tx.kind.late_share:  # an answer after the goal is worth nothing: no work for it
-                tx.end = min(deadline, now + tx.kind.service_goal)
+            tx.end = deadline if coming else self.limit(tx, now, deadline)
             if customer < len(self.rates) and not self.inside_share(customer, now):
                 tx.value *= self.excess  # turned away first: else one customer's burst costs all the others
             self.mean_value = blend(self.mean_value, tx.value)
@@ -279,6 +291,11 @@
         self.send(tx, now)
         return tx
 
+    def limit(self, tx: Transaction, now: int, deadline: int) -> int:
+        """An answer after the goal may be worth nothing: then no work for it."""
+        worthless = self.entrance and not tx.kind.late_share
+        return min(deadline, now + tx.kind.service_goal) if worthless else deadline
+
     def inside_share(self, customer: int, now: int) -> bool:
         rate, (left, then) = self.rates[customer], self.spare[customer]
         left = min(max(1.0, rate * self.window), left + rate * (now - then))
@@ -302,12 +319,15 @@
                     u = None
         if not u:
             return self.give_up(tx)
-        hop_time = tx.end - now
         self.credit = self.credit if tx.hops else min(SAVED, self.credit + RETRIES)
         self.dispatch(tx, u, now)
+        self.port.send(tx.ref, u.index, self.hop_time(tx, now))
+
+    def hop_time(self, tx: Transaction, now: int) -> int:
+        hop_time = tx.end - now
         if self.usual[tx.profile] and not self.tier.metric and self.credit >= 1 and self.may_follow(tx):
             hop_time = min(hop_time, self.patience(tx))
-        self.port.send(tx.ref, u.index, max(1, hop_time))
+        return max(1, hop_time)
 
     def try_aside(self, tx: Transaction, now: int) -> Upstream | None:
         """Without probes one hop that may run again tells whether an upstream set aside answers: brought back
@@ -321,7 +341,7 @@
         return u if may else None
 
     def may_follow(self, tx: Transaction) -> bool:
-        return tx.kind.effect is not Effect.NON_IDEMPOTENT and len(tx.hops) < self.most_hops
+        return tx.kind.effect is not Effect.NON_IDEMPOTENT and len(tx.hops) < self.most_hops and not tx.spent
 
     def patience(self, tx: Transaction) -> int:
         """How long a hop that may be repeated waits."""
@@ -385,16 +405,25 @@
     def dispatch(self, tx: Transaction, u: Upstream, now: int) -> None:
         u.budget -= 1
         hop = Hop(u, now)
-        u.heard = u.heard if u.held else now
         if self.rested.share(now) >= UNWELL and (u.held or hop.idle >= self.gap / 2):
             self.port.close_idle(u.index, round(self.gap / 2))
             hop.idle = 0  # tells nothing of idle connections any more
-        u.held[tx] = hop
-        self.out += not u.aside
+        if not tx.coming:  # nothing runs there before the last byte
+            self.let_in(tx, hop)
         self.sent += 1
         tx.out += 1
         tx.hops.append(hop)
 
+    def let_in(self, tx: Transaction, hop: Hop) -> None:
+        """From now on it counts as in flight."""
+        u = hop.upstream
+        u.heard = u.heard if u.held else hop.sent
+        u.held[tx] = hop
+        self.out += not u.aside
+
+    def let_out(self, tx: Transaction, u: Upstream) -> None:
+        self.out -= u.held.pop(tx, None) is not None and not u.aside
+
     def resend(self, tx: Transaction, now: int, outcome: Outcome) -> None:
         """After a hop without an answer: another, where the profile allows and the retries are not spent."""
         costs = not outcome.proves_unrun  # retries multiply across tiers
@@ -413,7 +442,7 @@
             self.port.abandon(tx.ref)
 
     def call_off(self, tx: Transaction) -> None:
-        if self.may_cancel and tx.out and tx in tx.hops[-1].upstream.held:
+        if self.may_cancel and tx.out and not tx.flowing:
             self.port.cancel(tx.ref, len(tx.hops) - 1)
 
     def learn_rested(self, idle: int, lost: int) -> None:
@@ -424,9 +453,8 @@
             self.rested.bad += lost
 
     def learn(self, now: int, tx: Transaction, u: Upstream, outcome: Outcome, took: int) -> None:
-        u.held.pop(tx, None)
+        self.let_out(tx, u)
         u.ended = now
-        self.out -= not u.aside
         if outcome in (Outcome.CANCELLED, Outcome.MOOT):
             return
         if outcome in (Outcome.COMMITTED, Outcome.ERROR, Outcome.FULL):
--- a/dahliabend/net/protocol/callers.py
+++ b/dahliabend/net/protocol/callers.py
@@ -1,17 +1,22 @@
 """HTTP to callers: their requests in, one answer each out."""
 
+import socket
+import struct
 from collections import deque
 from typing import Protocol
 
 import httptools
 
 from dahliabend.net.protocol import headers as wire
+from dahliabend.net.protocol.bodies import Body
 from dahliabend.net.transport.connection import Connection
 from dahliabend.net.transport.deadlines import Deadlines, clock
 from dahliabend.net.transport.descriptors import Descriptors
 
 LONGEST_ID = 128
 SEND = 2_500_000  # for a request to come whole, the first one counted from connecting; 3 s are owed
+PAUSE = 2_400_000  # in a body: the longest without a byte
+PACE = 48 * 1024  # bytes a second that a body comes in the mean, but for PAUSE at its start
 SLOW = 8  # of that: from that part on the connection of a request half come goes if room is needed
 
 
@@ -22,7 +27,7 @@
 
     def take(
         self, caller, profile: int, method: bytes, target: bytes, passed: bytes, body: bytes, *,
-        expires: int, began: int, customer: bytes, again: bool, trace: bytes,
+        expires: int, began: int, customer: bytes, again: bool, trace: bytes, upload: Body | None,
     ) -> int: ...  # fmt: skip
     def left(self, number: int) -> None: ...
     def ready(self) -> bool: ...
@@ -49,11 +54,16 @@
         # was closed at SIGTERM as if idle, and the request on it lost.
         self.since = clock()
         self.began = 0  # when the first byte of the request now coming came
+        self.upload: Body | None = None  # of the request being served, if too long to be kept
+        self.flowing = self.chunked = self.measured = False  # a long answer goes out; how its end is told
+        self.source: Connection | None = None  # where that comes from
         self.unread = 0  # bytes since the parser last made something of them
         self.fresh()
 
     def fresh(self) -> None:
         self.target, self.headers, self.body, self.size, self.named = b"", [], [], 0, b""
+        self.long: Body | None = None  # the body now coming, once it is too long to be kept
+        self.headed = self.heard = 0  # when its head was whole, and when a part of it came last
         self.fields: dict[bytes, bytes] = {}
 
     def connection_made(self, transport) -> None:
@@ -78,6 +88,8 @@
         self.grow(len(part))
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self.headed:
+            return  # a trailer is no part of the head
         self.grow(len(name) + len(value) + 4)
         if self.fault:
             return
@@ -102,28 +114,54 @@
 
     def on_headers_complete(self) -> None:
         self.size = self.unread = 0
-        if int(self.fields.get(b"content-length") or 0) > wire.MOST_BODY:
+        self.headed = self.heard = clock()
+        length = int(self.fields.get(b"content-length") or 0)
+        if length > wire.MOST:
             self.blame(413)
+        elif length > wire.KEPT and not self.fault:
+            self.lengthen(length)
         if self.parser.should_upgrade():
             self.blame(400)  # what follows is not read as its body
 
     def on_body(self, part: bytes) -> None:
-        self.unread = 0
+        self.unread, self.heard = 0, clock()
         self.size += len(part)
-        if self.size > wire.MOST_BODY:
+        if self.size > wire.MOST:
             self.blame(413)
+        elif self.fault:
+            return
+        elif self.long is not None:
+            self.long.feed(part)
         else:
             self.body.append(part)
+            if self.size > wire.KEPT:
+                self.lengthen(None)
+
+    def lengthen(self, length: int | None) -> None:
+        """It is served while its body comes."""
+        self.long = Body(self, length, self.body)
+        self.enqueue()
 
     def on_message_complete(self) -> None:
         if self.fault:
             return
-        keep = self.parser.should_keep_alive() and not wire.closes(self.named)
-        passed = wire.passed_on(self.headers, self.named)
-        method, body = self.parser.get_method(), b"".join(self.body)
-        self.queue.append((self.began, method, self.target, self.fields, passed, body, keep))
+        if self.long is None:
+            self.enqueue()
+        else:
+            self.long.end()
+            if self.long is self.upload:
+                self.deadlines.drop(self.stalled)
         self.began = self.unread = 0
 
+    def enqueue(self) -> None:
+        # An older protocol's callers may not know how to stay.
+        keep = self.parser.should_keep_alive() and not wire.closes(self.named)
+        keep = keep and self.parser.get_http_version() == "1.1"
+        self.queue.append(
+            (self.began, self.parser.get_method(), self.target, self.fields,
+             wire.passed_on(self.headers, self.named), self.long or b"".join(self.body), keep)
+        )  # fmt: skip
+
     # Bytes and their ends.
 
     def received(self, view: memoryview) -> None:
@@ -147,15 +185,29 @@
             self.start(*self.queue.popleft())
         # Whoever sends on without waiting for answers waits itself: else its requests pile up here.
         self.holding = bool(self.queue or self.fault)
+        if self.fault and self.upload is not None and not self.served and not self.closed and not self.last:
+            # In the middle of a body that was already passed on: it has no end, so it never runs.
+            self.upload, self.keep = None, False
+            ticket, self.ticket = self.ticket, -1
+            self.desk.left(ticket)
+            return self.refuse(self.fault)
         if self.fault and not self.serving and not self.closed and not self.last:
             self.serving, self.keep = True, False
             self.name(self.target)
             self.refuse(self.fault)
-        elif self.began and not self.serving and (self.stalled is None or self.stalled[2] is None):
+        elif self.began and (not self.serving or self.upload is not None) and not self.stalled_at():
             self.expect(self.began)  # half a request: a trickle would hold its descriptor for ever
 
+    def stalled_at(self) -> bool:
+        return self.stalled is not None and self.stalled[2] is not None
+
     def start(self, began, method, target, fields, passed, body, keep) -> None:
         self.keep = keep
+        if isinstance(body, Body):
+            # Come whole while others were served, it is like any other.
+            self.upload, body = (None, b"".join(body.parts)) if body.whole else (body, b"")
+        if target[:7].lower() == b"http://":  # as to a proxy
+            target = b"/" + target[7:].partition(b"/")[2]
         if method not in (b"GET", b"POST"):
             return self.refuse(405)
         path = target.partition(b"?")[0]
@@ -171,7 +223,7 @@
         self.ticket = self.desk.take(
             self, profile, method, target, passed, body,
             expires=int(expires) * 1000, began=began, customer=fields.get(wire.CUSTOMER, b""),
-            again=fields.get(wire.SECOND_TRY) == b"1", trace=trace,
+            again=fields.get(wire.SECOND_TRY) == b"1", trace=trace, upload=self.upload,
         )  # fmt: skip
 
     def name(self, path: bytes) -> int | None:
@@ -199,6 +251,7 @@
             return
         if self.profile:
             self.desk.counted(self.profile, status)
+        self.unfinished()
         # Kept while others wait to come in, it would have these miss their limits.
         self.keep = self.keep and (bool(self.queue) or not (self.desk.closing() or self.descriptors.crowded))
         ending = b"" if self.keep else b"Connection: close\r\n"
@@ -212,7 +265,61 @@
             # A caller that reads nothing would hold its descriptor, and the answer's bytes, for ever.
             self.stalled = self.deadlines.at(clock() + self.patience, self.shut)
 
+    def unfinished(self) -> None:
+        """Answered before its body has come whole: the rest is for nobody, and its end is not waited for."""
+        if self.upload is not None and not self.upload.whole:
+            self.keep, self.fault = False, self.fault or 413
+        self.upload = None
+
+    # A long answer.
+
+    def begin(self, headers: bytes, length: int | None, source: Connection) -> None:
+        """The one answer, to be passed on as it comes."""
+        if self.closed:
+            return
+        self.unfinished()
+        self.flowing, self.source = True, source
+        self.measured = length is not None
+        # What has no length ends with the connection where chunks are not understood.
+        self.chunked = not self.measured and self.parser.get_http_version() == "1.1"
+        self.keep = self.keep and not (self.desk.closing() or self.descriptors.crowded)
+        framing = b"Content-Length: %d\r\n" % length if self.measured else b""
+        framing = b"Transfer-Encoding: chunked\r\n" if self.chunked else framing
+        ending = b"" if self.keep else b"Connection: close\r\n"
+        self.deadlines.drop(self.stalled)
+        self.write(b"HTTP/1.1 200 OK\r\n" + framing + headers + ending + b"\r\n")
+
+    def more(self, part: bytes) -> None:
+        if self.closed:
+            return
+        self.write(*((b"%x\r\n" % len(part), part, b"\r\n") if self.chunked else (part,)))
+        if self.backlog > wire.KEPT:
+            self.source.halt()
+
+    def end(self) -> None:
+        if self.closed:
+            return
+        self.ticket, self.flowing, self.source = -1, False, None
+        self.desk.counted(self.profile, 200)
+        self.served, self.last = True, not self.keep
+        self.stalled = self.deadlines.at(clock() + 4 * self.patience, self.shut)
+        self.write(b"0\r\n\r\n" if self.chunked else b"")
+
+    def cut(self) -> None:
+        """It is not whole, and the caller has to see that."""
+        if self.closed:
+            return
+        self.ticket, self.flowing, self.source = -1, False, None
+        self.desk.counted(self.profile, 502)
+        if not self.measured and not self.chunked and self.sock is not None:
+            # Its end is the connection's: only a reset tells that this was not it.
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.sock = None
+        self.shut()
+
     def flushed(self) -> None:
+        if self.flowing and self.source.halted:
+            self.source.proceed()
         if not self.served:
             return
         self.served = self.serving = False
@@ -230,7 +337,7 @@
     def linger(self) -> None:
         """Closes after a request not read to its end: closed at once, what comes of it would wipe the answer
         out before the caller has read it. The answer's deadline still runs."""
-        self.fault, self.holding = 0, False
+        self.fault, self.holding, self.halted = 0, False, False
         self.stalled = self.deadlines.at(clock() + self.patience // 4, self.shut)
         if self.transport is not None and self.transport.can_write_eof():
             self.transport.write_eof()
@@ -242,8 +349,14 @@
             self.drain()
 
     def too_slow(self) -> None:
-        if self.serving:
+        if self.serving and self.upload is None:
             return
+        if self.headed and self.began and not self.fault:
+            due = min(self.headed + PAUSE + self.size * 1_000_000 // PACE, self.heard + PAUSE)
+            due = clock() + PAUSE if self.halted else due  # it is not the caller who is slow
+            if due > clock():
+                self.stalled = self.deadlines.at(due, self.too_slow)
+                return
         if not self.began and not self.fault and not self.waiting():
             self.finish()  # it never sent anything
         else:
@@ -259,7 +372,11 @@
         if self.since < fresh_since and not self.began and self.may_go():
             self.finish()
 
+    def proceed(self) -> None:
+        self.deadlines.loop.call_soon(super().proceed)  # never from within a call that takes or writes
+
     def lost(self) -> None:
+        self.long = self.upload = self.source = None
         self.parser = None  # it holds this connection and its rings
         self.deadlines.drop(self.stalled)
         self.over()
--- a/dahliabend/net/protocol/headers.py
+++ b/dahliabend/net/protocol/headers.py
@@ -5,8 +5,8 @@
 NEVER_RAN, LOAD = b"x-never-ran", b"endpoint-load-metrics"
 READY, HEALTHY, LOAD_PATH = b"/-/ready", b"/-/healthy", b"/-/load"
 
-MOST_BODY = 64 * 1024
-MOST_ANSWER = 8 * MOST_BODY  # upstreams send more than callers may; failed, such an answer may have run
+KEPT = 64 * 1024  # a body or an answer up to this is kept whole; of a longer one no more waits at a time
+MOST = 32 * 1024 * 1024  # longer ones are refused
 MOST_HEAD = 16 * 1024
 
 # They belong to one connection, or are written anew for each.
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -12,37 +12,95 @@
 from dahliabend.net.transport.deadlines import Deadlines, clock
 from dahliabend.net.transport.slots import Slots
 
+STANDSTILL = 20_000_000  # peers may take seconds to read or write; this long without a byte is an end
+HURRY = 500_000  # how long an answer of unknown length is kept
+FAR = 1 << 50  # microseconds: no limit yet
+
 
 class Ticket:
     """A transaction taken: its caller, its handle and its hops."""
 
     __slots__ = (
-        "answered", "body", "caller", "handle", "head", "hops", "name", "number", "passed", "profile", "seat",
-        "taken", "trace", "trail",
+        "answered", "body", "caller", "expires", "handle", "head", "hops", "name", "number", "passed",
+        "profile", "seat", "taken", "trace", "trail", "upload",
     )  # fmt: skip
 
     def __init__(self, caller: Caller, profile: int, head: bytes, passed: bytes, body: bytes, trace: bytes):
         self.caller, self.profile, self.head, self.passed, self.body = caller, profile, head, passed, body
         self.trace, self.taken, self.answered, self.number = trace, clock(), False, -1
         self.name = b""  # of its profile, as on the wire
+        self.expires, self.upload = 0, None  # how long its caller waits; a body that still comes
         self.handle: Transaction | None = None
         self.seat: Seat | None = None
         self.hops: list[Hop] = []
         self.trail: list[tuple] = []  # of its hops: upstream, outcome, milliseconds
 
+    def passed_by(self) -> None:
+        self.handle.passed_by()
+
 
 class Hop(Errand):
     """One sending of a transaction."""
 
     def __init__(self, router: "Router", ticket: Ticket, upstream, timeout: int) -> None:
-        head = b"%bX-Expires-In-Ms: %d\r\n%bContent-Length: %d\r\n\r\n" % (
-            ticket.head, max(1, timeout // 1000), ticket.passed, len(ticket.body),
+        self.upload = ticket.upload
+        length, wait = len(ticket.body), timeout
+        if self.upload is not None:
+            length, wait = self.upload.length, min(timeout, ticket.expires)
+        framing = b"Transfer-Encoding: chunked" if length is None else b"Content-Length: %d" % length
+        head = b"%bX-Expires-In-Ms: %d\r\n%b%b\r\n\r\n" % (
+            ticket.head, max(1, wait // 1000), ticket.passed, framing,
         )  # fmt: skip
         super().__init__(upstream, head, ticket.body, timeout)
         self.router, self.ticket, self.order = router, ticket, len(ticket.hops)
+        self.flowing, self.moved, self.first = False, 0, 0  # `first`: when a long answer's first byte came
+        self.hurry: list | None = None
+
+    def start(self) -> None:
+        super().start()
+        if self.upload is not None and not self.over and self.until - self.sent > STANDSTILL:
+            self.upstream.yard.deadlines.drop(self.deadline)
+            self.deadline = self.upstream.yard.deadlines.at(self.sent + STANDSTILL, self.timed_out)
 
     def written(self) -> None:
-        self.router.figures.relayed(self.ticket.name)
+        ticket, self.moved = self.ticket, clock()
+        self.router.figures.relayed(ticket.name)
+        if ticket.upload is not None and ticket.handle.coming:
+            # Until now nothing could run there: what the caller took to send counts against nobody.
+            wait = ticket.handle.arrived(self.moved, ticket.upload.ended_at + ticket.expires)
+            self.sent, self.until = self.moved, self.moved + wait
+            self.upstream.yard.deadlines.drop(self.deadline)
+            self.deadline = self.upstream.yard.deadlines.at(self.until, self.timed_out)
+
+    def timed_out(self) -> None:
+        """A body that comes, or an answer that has begun, ends only once nothing moves for long."""
+        coming = self.upload is not None and self.ticket.handle.coming
+        moved = self.moved if self.flowing else self.upload.moved if coming else 0
+        if self.dialing is None and clock() - moved < STANDSTILL:
+            self.deadline = self.upstream.yard.deadlines.at(moved + STANDSTILL, self.timed_out)
+        else:
+            super().timed_out()
+
+    def coming(self) -> None:
+        # It may be a long one: held back for 2 s, it would be lost.
+        self.hurry = self.upstream.yard.deadlines.at(clock() + HURRY, self.link.begin)
+
+    def began(self, passed: bytes, length: int | None) -> None:
+        ticket = self.ticket
+        self.flowing, self.moved, self.first = True, clock(), clock()
+        ticket.answered = True
+        ticket.handle.begun(self.moved, self.order)
+        ticket.caller.begin(passed, length, self.link)
+        self.upstream.yard.deadlines.drop(self.deadline)
+        self.timed_out()
+
+    def part(self, part: bytes) -> None:
+        self.moved = clock()
+        self.ticket.caller.more(part)
+
+    def settle(self) -> None:
+        super().settle()
+        self.upstream.yard.deadlines.drop(self.hurry)
 
     def ended(self, outcome: Outcome, took: int, answer: tuple | None) -> None:
         self.router.hop_ended(self, outcome, took, answer)
@@ -156,8 +214,9 @@
     # What callers and the list bring.
 
     def take(
-        self, caller, profile, method, target, passed, body, *, expires, began, customer, again, trace
-    ) -> int:
+        self, caller, profile, method, target, passed, body, *,
+        expires, began, customer, again, trace, upload=None,
+    ) -> int:  # fmt: skip
         if trace in self.traces:
             # Another's open transaction: sent on, it would be a second copy of that one at an upstream.
             caller.refuse(409)
@@ -175,26 +234,34 @@
         # The time runs from the caller's sending; on a busy machine the bytes have lain unread for a while,
         # and so will the answer. One at the very limit would come after it.
         expires = min(expires, self.longest[profile])
-        deadline = began + expires - min(self.slack, expires // 8)
+        ticket.expires, ticket.upload = expires - min(self.slack, expires // 8), upload
+        deadline = clock() + FAR if upload is not None else began + ticket.expires
         if self.stop_at:
             deadline = min(deadline, self.stop_at)
         ticket.seat = seat = self.seats[-1]
         seat.held += 1
         ticket.handle = seat.balancer.take(
             ticket.taken, number, profile, self.customers.get(customer, len(self.customers)), deadline,
-            again,
+            again, upload is not None,
         )  # fmt: skip
+        if upload is not None:
+            upload.reader = ticket
         self.drop_if_over(ticket)
         return -1 if ticket.answered else number
 
     def left(self, number: int) -> None:
         """The caller has gone away."""
         ticket = self.tickets.get(number)
-        if ticket is not None and not ticket.answered:
+        if ticket is None:
+            return
+        if not ticket.answered:
             ticket.answered = True
             self.note("left", ticket)
             ticket.handle.left(clock())
             self.drop_if_over(ticket)
+        else:  # in the middle of a long answer
+            for hop in tuple(ticket.hops):
+                hop.give_up(Outcome.CANCELLED)
 
     def ready(self) -> bool:
         """Able to serve: the list has been asked for, and names somebody to send to."""
@@ -302,8 +369,13 @@
         if outcome is not Outcome.COMMITTED:
             self.log("hop", tx=ticket.trace.decode("latin-1"), order=hop.order, upstream=hop.upstream.name,
                      outcome=outcome.name, ms=took // 1000, why=hop.why)  # fmt: skip
-        else:
+        elif not hop.flowing:
             self.answer(ticket.number, "committed", 200, *answer[:2])
+        if hop.flowing:  # its answer's time is that of the first byte
+            took = hop.first - hop.sent
+            whole = outcome is Outcome.COMMITTED
+            self.note("committed" if whole else "cut", ticket)
+            ticket.caller.end() if whole else ticket.caller.cut()
         ticket.handle.returned(clock(), hop.order, outcome, took, ticket.answered, hop.rested)
         self.drop_if_over(ticket)
 
--- a/dahliabend/net/routing/upstreams.py
+++ b/dahliabend/net/routing/upstreams.py
@@ -15,6 +15,8 @@
 class Errand:
     """Something asked of an upstream, with its own deadline. `ended` is called once, never from `start`."""
 
+    upload = None  # a body that still comes
+
     def __init__(self, upstream: "Upstream", head: bytes, body: bytes, timeout: int) -> None:
         self.upstream, self.head, self.body, self.sent = upstream, head, body, clock()
         self.link: Link | None = None
@@ -31,7 +33,7 @@
         self.deadline = yard.deadlines.at(self.until, self.timed_out)
         self.link, self.rested = self.upstream.rested(self.sent)
         if self.link is not None:
-            self.link.ask(self, self.head, self.body)
+            self.link.ask(self, self.head, self.body, self.upload)
         elif yard.descriptors.full(self.sent):
             self.end_soon(Outcome.MOOT)  # no socket left: the upstream is not to blame
         else:
@@ -54,13 +56,17 @@
         if self.over:  # called off meanwhile: the connection is as good as new
             return self.upstream.free(link)
         self.link = link
-        link.ask(self, self.head, self.body)
+        link.ask(self, self.head, self.body, self.upload)
 
     # What comes back.
 
     def written(self) -> None:
         """All of it is on its way: it may run from now on."""
 
+    def coming(self) -> None: ...
+    def began(self, passed: bytes, length: int | None) -> None: ...
+    def part(self, part: bytes) -> None: ...
+
     def answered(self, status: int, never_ran: bool, load: bytes, passed: bytes, body: bytes) -> None:
         if status == 200:
             self.end(Outcome.COMMITTED, (passed, body, load))
@@ -70,6 +76,7 @@
 
     def broke(self, written: bool) -> None:
         """Only a request that was written whole may have run."""
+        self.why = self.link.why if self.link is not None else ""
         self.end(Outcome.RESET if written else Outcome.UNREACHABLE)
 
     def timed_out(self) -> None:
--- a/dahliabend/net/transport/connection.py
+++ b/dahliabend/net/transport/connection.py
@@ -9,6 +9,9 @@
 from dahliabend.net.transport.ring import Ring
 
 RING = 8192
+# The system's own buffer grows to megabytes otherwise: what lies there counts as written, and a peer that
+# reads slowly would seem to stand still while it is emptied.
+SENDING = 256 * 1024
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -24,7 +27,8 @@
         self.pending: deque[bytes] = deque()  # what the outgoing ring has no room for yet
         self.at = 0  # how much of the first pending piece is in the ring
         self.lent = 0  # bytes of the ring that the transport still reads
-        self.blocked = self.holding = self.paused = self.closed = self.broken = False
+        self.queued = 0  # bytes of the pending pieces that are not in the ring yet
+        self.blocked = self.holding = self.halted = self.paused = self.closed = self.broken = False
         self.transport: asyncio.Transport | None = None
         self.sock: socket.socket | None = None
 
@@ -53,17 +57,35 @@
     def drain(self) -> None:
         """Hands on what has come, unless it is to wait; a full ring holds the peer back."""
         ring = self.incoming
-        while ring.count and not self.holding and not self.closed:
+        while ring.count and not self.holding and not self.halted and not self.closed:
             view = ring.filled()
             self.received(view)
             ring.consume(len(view))
-        full = ring.count == ring.size
+        full = ring.count == ring.size or self.halted
         if full != self.paused and self.transport is not None and not self.closed:
             self.paused = full
             (self.transport.pause_reading if full else self.transport.resume_reading)()
 
+    def halt(self) -> None:
+        """Nothing more is read for now: whoever gets it is slower. An end is not seen before the bytes ahead
+        of it have been handed on."""
+        self.halted = True
+        if not self.paused and self.transport is not None and not self.closed:
+            self.paused = True
+            self.transport.pause_reading()
+
+    def proceed(self) -> None:
+        if self.halted:
+            self.halted = False
+            self.drain()
+
     # Writing.
 
+    @property
+    def backlog(self) -> int:
+        """Bytes that the system has not taken yet."""
+        return self.queued + self.outgoing.count
+
     @property
     def whole(self) -> bool:
         """Has the system taken all that was written?"""
@@ -72,13 +94,16 @@
     def write(self, *pieces: bytes) -> None:
         """Sends the pieces as one; none is copied as a whole, as many callers may wait with long bodies."""
         self.pending.extend(pieces)
+        self.queued += sum(map(len, pieces))
         self.pump()
 
     def pump(self) -> None:
         ring = self.outgoing
         while not self.blocked and not self.closed and self.transport is not None:
             while self.pending and ring.count < ring.size:
-                self.at += ring.put(self.pending[0], self.at)
+                moved = ring.put(self.pending[0], self.at)
+                self.at += moved
+                self.queued -= moved
                 if self.at == len(self.pending[0]):
                     self.pending.popleft()
                     self.at = 0
@@ -156,12 +181,17 @@
         self.descriptors.give_back(self.number)
 
 
+def tune(sock: socket.socket) -> None:
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SENDING)
+
+
 async def dial(loop: asyncio.AbstractEventLoop, address: tuple[str, int], connection: Connection) -> None:
     """Connects; OSError if that fails. Cancelled, it leaves nothing open."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        tune(sock)
         await loop.sock_connect(sock, address)
         connection.sock = sock
         await loop.create_connection(lambda: connection, sock=sock)
--- a/dahliabend/net/transport/listener.py
+++ b/dahliabend/net/transport/listener.py
@@ -5,7 +5,7 @@
 import socket
 from collections.abc import Callable
 
-from dahliabend.net.transport.connection import Connection
+from dahliabend.net.transport.connection import Connection, tune
 from dahliabend.net.transport.deadlines import Deadlines, clock
 from dahliabend.net.transport.descriptors import Descriptors
 
@@ -68,8 +68,7 @@
                 return
             except OSError:  # the system itself has no descriptor left
                 return self.pause()
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            tune(sock)
             task = self.deadlines.loop.create_task(self.start(sock, self.accepted()))
             self.starting.add(task)
             task.add_done_callback(self.starting.discard)
