--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -298,9 +298,10 @@
         go.set()
         assert [caller.read()[0] for caller in held] == [200] * 6  # each once: the connections go on
         assert [caller.ask(trace=f"g{n}")[0] for n, caller in enumerate(held)] == [200] * 6
-        replace(process, settings={**CONF, "fees": {}})
+        back = {**MOVED, **CONF, "fees": {"cross-zone": 0}, "caps": {**CONF["caps"], "max-streams": 1}}
+        replace(process, settings={**back, "fees": {}})
         assert "settings.fees.cross-zone" in logged(process, "reload.refused")["why"]
-        replace(process, settings={**CONF, "fees": {"cross-zone": 0}})
+        replace(process, settings=back)
         assert logged(process, "switched")["kept"] == 2
         assert Caller(address).ask("submit", "POST", trace="n2")[0] == 200
 
