--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -52,6 +52,7 @@
         self.inherited = node.inherited
         self.handover = Handover(node.shared, log) if node.shared else None
         self.older: list[tuple[int, int]] = []  # processes that were there before
+        self.clearing: list | None = None  # when callers that are idle are next sent away
         self.halved = False  # does another process live on half of the descriptors?
         self.patience, self.terms, self.keys = max(node.longest), node.terms, node.keys
         self.tell_unmet(node.unmet)
@@ -161,17 +162,17 @@
 
     def evacuate(self) -> None:
         """Callers go elsewhere; what they have asked for is answered first, and who still comes is served."""
-        if not self.router.evacuated:
-            self.router.evacuated = True
-            self.clear_out()
+        self.router.evacuated = True
+        self.clear_out()
 
     def rejoin(self) -> None:
         self.router.evacuated = False
 
     def clear_out(self) -> None:
+        self.deadlines.drop(self.clearing)  # the calls may come in any order, and often
         if self.router.evacuated:
             self.let_go()
-            self.deadlines.at(clock() + IN_HAND // 3, self.clear_out)
+            self.clearing = self.deadlines.at(clock() + IN_HAND // 3, self.clear_out)
 
     def sweep(self) -> None:
         """Many callers ask once and stay: kept, their connections would be all there are."""
