One that fails quickly is set aside at its floor, and again at its first error once back

Seen: all 104 errors came from one upstream, within 0 to 3 ms; it was set aside and came back again and again, as it answers probes. Checked and ruled out: the switch of settings (errors before the first SIGHUP too), the tier behind (no balancer there refused or abandoned anything), unknown classes. At fault: close_window, which waits for the window's end, and bring_back, after which a full floor of hops is lost anew.

--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -234,14 +234,8 @@
             u.budget /= 1 if ends else 2
             upstreams[index] = [getattr(u, name) for name in CARRIED]
             u.budget = float("-inf") if ends else u.budget
-        crowd = [getattr(self, name) for name in CROWD]
-        return {
-            "shape": self.shape,
-            "usual": self.usual,
-            "gap": self.gap,
-            "crowd": crowd,
-            "upstreams": upstreams,
-        }
+        known = {"shape": self.shape, "usual": self.usual, "gap": self.gap, "upstreams": upstreams}
+        return known | {"crowd": [getattr(self, name) for name in CROWD]}
 
     def follow(self, known: dict, same: list[tuple[int, int]]) -> int:
         """Takes over from others; `same` pairs the profiles. Returns of how many upstreams what is known
@@ -476,6 +470,12 @@
         for entry in (u.entries[tx.profile], u.entries[-1]):
             entry.tried += 1
             entry.bad += bad
+        # Quick failures draw load until the window's end, and one that answers probes but no hop draws it
+        # each time it is back, until it has its floor again.
+        unwell = u.entries[-1].tried >= FLOOR and u.entries[-1].bad >= UNWELL * u.entries[-1].tried
+        quick = outcome is Outcome.ERROR and took < usual * STEP
+        if quick and (u.strikes or unwell) and self.tier.metric < UNWELL / 2:
+            self.set_aside(u, now)
         if self.fee and u.zone == self.zone:
             self.home.tried += 1
             self.home.bad += (bad or took > LATE * tx.kind.service_goal) - self.fee * EASE
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -555,3 +555,25 @@
     assert taken(made, 0).done and not port.of("send")  # two processes let in what one may
     made.beside = 0
     assert not taken(made, 0, ref=2).done
+
+
+def test_one_that_fails_quickly_is_set_aside_before_its_window_ends_and_at_once_when_it_is_back():
+    made, _ = balancer()
+    u, made.usual[2] = made.upstreams[0], 100 * MS
+
+    def fails():
+        tx = taken(made, 2)
+        hop = tx.hops[0].upstream
+        hop.held.pop(tx)
+        u.held[tx] = tx.hops[0]
+        tx.hops[0].upstream = u
+        tx.returned(T, 0, Outcome.ERROR, MS, False)
+
+    for _ in range(FLOOR):
+        assert not u.aside
+        fails()
+    assert u.aside
+    made.probed(T + 100 * S, 0, Outcome.COMMITTED)
+    assert not u.aside
+    fails()
+    assert u.aside and u.strikes == 2
