--- a/dahliabend/net/routing/upstreams.py
+++ b/dahliabend/net/routing/upstreams.py
@@ -116,9 +116,7 @@
         self.address = ("", 0)
         # As the list last had it: other settings read it anew.
         self.state, self.born, self.weight, self.cell, self.zone = State.GONE, 0, 1.0, 0, ""
-        self.returned = (
-            0  # when an operator last put it back: it may have started again since it was taken out
-        )
+        self.returned = 0  # when an operator last put it back: it may have started again meanwhile
         self.wanted = False  # may connections rest here?
         self.links: set[Link] = set()
         self.resting: list[Link] = []
