Read-through: one rule for keeping a caller, one file read, a successor's state made once

One thing behaves otherwise, a fault: begin had answer's rule for keeping the connection without its exception, so a request queued behind a long answer went unanswered when callers were sent away; both call ending() now, with a test. The rest behaves as before: - What a successor goes on from was put together ten times a second while it lived, and handed over once; now once. - The file was decoded twice, typed and untyped; now once, and converted. - Descriptors tell a connection to go in one place; Caller.flowing, which its source tells, is gone; two assignments are plain again.

--- a/dahliabend/config.py
+++ b/dahliabend/config.py
@@ -186,8 +186,9 @@
             raw = file.read()
     except OSError as error:
         raise ValueError(f"PROXY_CONFIG: {path}: {error.strerror}") from None
-    node = msgspec.json.decode(raw, type=_Node)
-    keys = _keys(msgspec.json.decode(raw))
+    tree = msgspec.json.decode(raw)
+    node = msgspec.convert(tree, _Node)
+    keys = _keys(tree)
     if missing := sorted(needed - keys):
         raise ValueError(f"{missing[0]}: missing")
     conf = node.settings
@@ -217,6 +218,7 @@
     if given and not (given.isascii() and given.isdigit() and len(given) < 10):
         raise ValueError(f"PROXY_FD: {given!r} is no descriptor's number")
     inherited = int(given) if given else None
+    shared = os.path.join(environment.get("TMPDIR") or "/tmp", "dahliabend")
     unmet = {"caps.max-streams": conf.caps.max_streams > 1, "caps.may-tell": conf.caps.may_tell}
     return Node(
         name=environment.get("PROXY_NAME") or node.name or "dahliabend",
@@ -224,9 +226,7 @@
         discovery=_address("discovery", environment.get("PROXY_DISCOVERY") or node.discovery),
         admin=_address("admin", admin) if admin else None,
         inherited=inherited,
-        shared=os.path.join(environment.get("TMPDIR") or "/tmp", "dahliabend")
-        if inherited is not None
-        else "",
+        shared=shared if given else "",
         seed=seed,
         sockets=node.limits.sockets,
         known=node.known,
--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -142,9 +142,12 @@
             self.router.yard.remember(name)
             self.router.exclude(name, name in excluded)
         if again and newer:
-            servers = {"version": self.book.version, "full": True, "servers": self.router.servers()}
-            state = {"list": servers, "discovery": self.discovery.address}
-            self.handover.hand(newer[-1], lambda: self.router.known() | state)
+            self.handover.hand(newer[-1], self.state)
+
+    def state(self) -> dict:
+        """What a successor goes on from."""
+        servers = {"version": self.book.version, "full": True, "servers": self.router.servers()}
+        return self.router.known() | {"list": servers, "discovery": self.discovery.address}
 
     # What operators ask for.
 
--- a/dahliabend/net/protocol/callers.py
+++ b/dahliabend/net/protocol/callers.py
@@ -55,8 +55,8 @@
         self.since = clock()
         self.began = 0  # when the first byte of the request now coming came
         self.upload: Body | None = None  # of the request being served, if too long to be kept
-        self.flowing = self.chunked = self.measured = False  # a long answer goes out; how its end is told
-        self.source: Connection | None = None  # where that comes from
+        self.source: Connection | None = None  # where a long answer that goes out comes from
+        self.chunked = self.measured = False  # how its end is told
         self.unread = 0  # bytes since the parser last made something of them
         self.fresh()
 
@@ -252,9 +252,7 @@
         if self.profile:
             self.desk.counted(self.profile, status)
         self.unfinished()
-        # Kept while others wait to come in, it would have these miss their limits.
-        self.keep = self.keep and (bool(self.queue) or not (self.desk.closing() or self.descriptors.crowded))
-        ending = b"" if self.keep else b"Connection: close\r\n"
+        ending = self.ending()
         head = b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n" % (
             status, wire.REASONS.get(status, b"Other"), len(body),
         )  # fmt: skip
@@ -265,6 +263,13 @@
             # A caller that reads nothing would hold its descriptor, and the answer's bytes, for ever.
             self.stalled = self.deadlines.at(clock() + self.patience, self.shut)
 
+    def ending(self) -> bytes:
+        """Settles with the answer whether the connection goes on; the header line that says so."""
+        # Kept while others wait to come in, it would have these miss their limits. What has come whole behind
+        # this request would be lost if it went.
+        self.keep = self.keep and (bool(self.queue) or not (self.desk.closing() or self.descriptors.crowded))
+        return b"" if self.keep else b"Connection: close\r\n"
+
     def unfinished(self) -> None:
         """Answered before its body has come whole: the rest is for nobody, and its end is not waited for."""
         if self.upload is not None and not self.upload.whole:
@@ -278,16 +283,14 @@
         if self.closed:
             return
         self.unfinished()
-        self.flowing, self.source = True, source
+        self.source = source
         self.measured = length is not None
         # What has no length ends with the connection where chunks are not understood.
         self.chunked = not self.measured and self.parser.get_http_version() == "1.1"
-        self.keep = self.keep and not (self.desk.closing() or self.descriptors.crowded)
         framing = b"Content-Length: %d\r\n" % length if self.measured else b""
         framing = b"Transfer-Encoding: chunked\r\n" if self.chunked else framing
-        ending = b"" if self.keep else b"Connection: close\r\n"
         self.deadlines.drop(self.stalled)
-        self.write(b"HTTP/1.1 200 OK\r\n" + framing + headers + ending + b"\r\n")
+        self.write(b"HTTP/1.1 200 OK\r\n" + framing + headers + self.ending() + b"\r\n")
 
     def more(self, part: bytes) -> None:
         if self.closed:
@@ -299,7 +302,7 @@
     def end(self) -> None:
         if self.closed:
             return
-        self.ticket, self.flowing, self.source = -1, False, None
+        self.ticket, self.source = -1, None
         self.desk.counted(self.profile, 200)
         self.served, self.last = True, not self.keep
         self.stalled = self.deadlines.at(clock() + 4 * self.patience, self.shut)
@@ -309,7 +312,7 @@
         """It is not whole, and the caller has to see that."""
         if self.closed:
             return
-        self.ticket, self.flowing, self.source = -1, False, None
+        self.ticket, self.source = -1, None
         self.desk.counted(self.profile, 502)
         if not self.measured and not self.chunked and self.sock is not None:
             # Its end is the connection's: only a reset tells that this was not it.
@@ -318,7 +321,7 @@
         self.shut()
 
     def flushed(self) -> None:
-        if self.flowing and self.source.halted:
+        if self.source is not None and self.source.halted:
             self.source.proceed()
         if not self.served:
             return
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -223,8 +223,8 @@
             return -1
         head = b"%b %b HTTP/1.1\r\n" % (method, target)
         ticket = Ticket(caller, profile, head, passed, body, trace)
-        ticket.name, ticket.number = caller.profile, self.tickets.put(ticket)
-        number = ticket.number
+        ticket.name = caller.profile
+        ticket.number = number = self.tickets.put(ticket)
         if number < 0:
             # The table is full: the caller is told at once, nothing has run.
             self.log("no_room", tickets=len(self.tickets))
@@ -369,13 +369,13 @@
         if outcome is not Outcome.COMMITTED:
             self.log("hop", tx=ticket.trace.decode("latin-1"), order=hop.order, upstream=hop.upstream.name,
                      outcome=outcome.name, ms=took // 1000, why=hop.why)  # fmt: skip
-        elif not hop.flowing:
-            self.answer(ticket.number, "committed", 200, *answer[:2])
         if hop.flowing:  # its answer's time is that of the first byte
             took = hop.first - hop.sent
             whole = outcome is Outcome.COMMITTED
             self.note("committed" if whole else "cut", ticket)
             ticket.caller.end() if whole else ticket.caller.cut()
+        elif outcome is Outcome.COMMITTED:
+            self.answer(ticket.number, "committed", 200, *answer[:2])
         ticket.handle.returned(clock(), hop.order, outcome, took, ticket.answered, hop.rested)
         self.drop_if_over(ticket)
 
--- a/dahliabend/net/transport/descriptors.py
+++ b/dahliabend/net/transport/descriptors.py
@@ -40,8 +40,12 @@
             if not self.crowded:
                 break
             if connection.may_go():
-                self.leaving.add(number)
-                connection.shut()
+                self.dismiss(number, connection)
+
+    def dismiss(self, number: int, connection) -> None:
+        """Its slot comes back once it is closed; until then the reserve bears it."""
+        self.leaving.add(number)
+        connection.shut()
 
     def full(self, now: int = 0) -> bool:
         """Is none left but the reserve? Then the oldest idle connection is told to go, and makes room."""
@@ -51,8 +55,7 @@
         for number in chain(self.idle, late):
             connection = self.connections.get(number)
             if connection.may_go():
-                self.leaving.add(number)  # its slot comes back once closed; until then the reserve bears it
-                connection.shut()
+                self.dismiss(number, connection)
                 return self.exhausted()
         return True
 
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -1,6 +1,7 @@
 """Bodies and answers too long to be kept, and all forms they come in."""
 
 import os
+from types import SimpleNamespace
 
 import pytest
 from helpers import MS, PATIENCE, Caller, S, Upstream, answer, balancer, call, program, until
@@ -156,3 +157,14 @@
         port.clear()
         tx.returned(101 * S, 0, Outcome.UNREACHABLE, S, False)
         assert port[-1][0] == end
+
+
+def test_a_request_behind_a_long_answer_is_not_lost_when_callers_are_sent_away():
+    desk = SimpleNamespace(closing=lambda: True, profiles={}, ready=lambda: True)
+    for behind, kept in ((1, True), (0, False)):
+        caller = Taker(Descriptors(100), yard().deadlines, desk, S)
+        Pipe(caller)
+        caller.serving = caller.keep = True
+        caller.queue.extend([()] * behind)
+        caller.begin(b"", 9, None)
+        assert caller.keep is kept and (b"Connection: close" in caller.transport.written) is not kept
