What the program takes from the machine stands in one module; hand-over on a folder of its own

Sockets, clocks, files and the shared folder were taken in six places; now in net/transport/machine.py, called by way of the module, and the folder's locks and renames in net/transport/folder.py. Program.run is start and end, so that the collector's freeze is the process's matter. Exclusions of the other process are taken over in order of name: a set's order hung on the hash seed.

--- a/dahliabend/config.py
+++ b/dahliabend/config.py
@@ -4,7 +4,6 @@
 """
 
 import os
-import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from ipaddress import IPv4Address
@@ -12,6 +11,7 @@
 import msgspec
 
 from dahliabend.model import Effect, Group, Profile, Settings
+from dahliabend.net.transport import machine
 
 
 class _Wire(msgspec.Struct, rename="kebab"):
@@ -182,8 +182,7 @@
     if not path:
         raise ValueError("PROXY_CONFIG: not set; it names the configuration file")
     try:
-        with open(path, "rb") as file:
-            raw = file.read()
+        raw = machine.read_file(path)
     except OSError as error:
         raise ValueError(f"PROXY_CONFIG: {path}: {error.strerror}") from None
     tree = msgspec.json.decode(raw)
@@ -244,7 +243,7 @@
         report_fields=tuple(conf.report.fields) if conf.report.source == "on_probe" else (),
         unmet=tuple(key for key, asked in unmet.items() if asked),
         keys=keys,
-        epoch=time.monotonic_ns() // 1000 - time.time_ns() // 1000,
+        epoch=machine.ticks() // 1000 - machine.wall() // 1000,
     )
 
 
--- a/dahliabend/net/program/handover.py
+++ b/dahliabend/net/program/handover.py
@@ -4,16 +4,16 @@
 passed over.
 """
 
-import contextlib
-import fcntl
-import os
 from collections.abc import Callable
 from hashlib import blake2b
-from pathlib import Path
 
 import orjson
 
+from dahliabend.net.transport import machine
+from dahliabend.net.transport.folder import Claim
+
 VERSION = 1  # of the files' form: what another version wrote is not read
+BANS = "excluded"
 
 
 class Handover:
@@ -21,49 +21,29 @@
     successor; exclusions are a file each, so that calls to either process can't undo one another."""
 
     def __init__(self, folder: str, log: Callable) -> None:
-        self.folder, self.log = Path(folder), log
-        self.bans = self.folder / "excluded"
+        self.folder, self.log = machine.folder(folder), log
         self.key = (0, 0)
-        self.lock = -1
+        self.claim: Claim | None = None
         self.written_for: tuple[int, int] | None = None  # the successor that has been written for
 
     def open(self) -> None:
         """Takes a place behind those that live; what the dead have left goes. OSError: it has no folder."""
-        self.bans.mkdir(parents=True, exist_ok=True)
+        self.folder.make(BANS)
         living = self.living()
-        for path in self.folder.glob("for-*"):
-            if not any(path.name.endswith(f"-{number}-{pid}") for number, pid in living):
-                path.unlink(missing_ok=True)
-        self.key = (max((n for n, _ in living), default=0) + 1, os.getpid())
-        fresh = self.folder / f"new-{os.getpid()}"
-        self.lock = os.open(fresh, os.O_RDWR | os.O_CREAT, 0o600)
-        # Locked before it has its name: seen unlocked, it would be taken for a dead one's and cleared away.
-        fcntl.lockf(self.lock, fcntl.LOCK_EX)
-        fresh.rename(self.path(self.key))
-
-    def path(self, key: tuple[int, int]) -> Path:
-        return self.folder / f"alive-{key[0]}-{key[1]}"
+        for name in self.folder.names("for-*"):
+            if not any(name.endswith(f"-{number}-{pid}") for number, pid in living):
+                self.folder.remove(name)
+        self.key = (max((n for n, _ in living), default=0) + 1, machine.process_id())
+        self.claim = self.folder.claim(f"alive-{self.key[0]}-{self.key[1]}")
 
     def living(self) -> dict[tuple[int, int], int]:
-        """The others that hold their locks, oldest first, with their hops in flight. A crash frees a lock, so
-        no old file misleads."""
+        """The others that hold their locks, oldest first, with their hops in flight."""
         found = {}
-        for path in self.folder.glob("alive-*-*"):
-            number, pid = path.name.split("-")[1:]
-            if (key := (int(number), int(pid))) == self.key:
-                continue  # opened and closed here, its lock would be lost
-            try:
-                file = os.open(path, os.O_RDWR)
-            except OSError:
-                continue
-            try:
-                fcntl.lockf(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
-                path.unlink(missing_ok=True)
-            except OSError:
-                out = os.pread(file, 8, 0)
+        for name in self.folder.names("alive-*-*"):
+            number, pid = name.split("-")[1:]
+            key = int(number), int(pid)
+            if key != self.key and (out := self.folder.claimed(name)) is not None:
                 found[key] = int(out) if out.strip().isdigit() else 0
-            finally:
-                os.close(file)
         return dict(sorted(found.items()))
 
     # What is known.
@@ -77,12 +57,11 @@
 
     def received(self) -> dict | None:
         """What the one in service has written for this one, if it has and it can be read."""
-        path = self.folder / f"for-{self.key[0]}-{self.key[1]}"
-        try:
-            raw = path.read_bytes()
-        except OSError:
+        name = f"for-{self.key[0]}-{self.key[1]}"
+        raw = self.folder.read(name)
+        if raw is None:
             return None
-        path.unlink(missing_ok=True)
+        self.folder.remove(name)
         try:
             state = orjson.loads(raw)
             if state["version"] == VERSION:
@@ -93,38 +72,33 @@
         return None
 
     def write(self, name: str, value) -> None:
-        fresh = self.folder / f"new-{os.getpid()}"
         try:
-            fresh.write_bytes(orjson.dumps(value))
-            fresh.rename(self.folder / name)
+            self.folder.write(name, orjson.dumps(value))
         except OSError as error:
             self.log("handover.unwritten", why=str(error))
 
     def tell(self, out: int) -> None:
-        """How many hops this one has in flight. Written in place: made anew ten times a second, a file would
-        have the loop wait for a busy disk."""
-        with contextlib.suppress(OSError):
-            os.pwrite(self.lock, b"%8d" % out, 0)
+        """How many hops this one has in flight."""
+        self.claim.tell(b"%8d" % out)
 
     # Exclusions.
 
     def excluded(self) -> set[str]:
         names = set()
-        for path in self.bans.glob("*"):
+        for name in self.folder.names(f"{BANS}/*"):
             try:
-                names.add(path.read_text("utf-8"))
-            except (OSError, ValueError):
-                continue  # ended meanwhile
-        return names
+                names.add((self.folder.read(name) or b"").decode())
+            except ValueError:
+                continue
+        return names - {""}  # ended meanwhile
 
     def exclude(self, name: str, out: bool) -> None:
-        path = self.bans / blake2b(name.encode("utf-8", "surrogatepass"), digest_size=16).hexdigest()
+        digest = blake2b(name.encode("utf-8", "surrogatepass"), digest_size=16).hexdigest()
+        path = f"{BANS}/{digest}"
         try:
-            if out and not path.exists():
-                fresh = self.folder / f"new-{os.getpid()}"
-                fresh.write_text(name, "utf-8")
-                fresh.rename(path)
+            if out and not self.folder.exists(path):
+                self.folder.write(path, name.encode())
             elif not out:
-                path.unlink(missing_ok=True)
+                self.folder.remove(path)
         except (OSError, ValueError) as error:
             self.log("handover.unwritten", why=str(error))
--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -4,6 +4,7 @@
 import gc
 import os
 import signal
+from collections.abc import Mapping
 
 from dahliabend.config import Node, reread_node
 from dahliabend.net.program.figures import Figures
@@ -32,9 +33,10 @@
 
 
 class Program:
-    def __init__(self, node: Node, log: Log) -> None:
+    def __init__(self, node: Node, environment: Mapping[str, str], log: Log) -> None:
         loop = asyncio.get_running_loop()
         self.listen, self.admin, self.log = node.listen, node.admin, log
+        self.environment = environment
         self.done = loop.create_future()
         self.deadlines = Deadlines(loop)
         self.descriptors = Descriptors(node.sockets - (DOOR if node.admin else 0))
@@ -60,7 +62,8 @@
             book.read(node.known, first=True)
         yard.sweep()
 
-    async def run(self) -> None:
+    async def start(self) -> None:
+        """Until callers are taken."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
@@ -76,11 +79,10 @@
         else:
             self.listener.inherit(self.inherited)
         self.log("listening", address=":".join(map(str, self.listen)), entrance=self.router.balancer.entrance)
-        # What the start made stays: no pause is spent on walking it again.
-        gc.collect()
-        gc.freeze()
         self.beat()
         self.sweep()
+
+    async def end(self) -> None:
         await self.done
         self.discovery.stop()
         self.log("ended", counts=self.router.counts)
@@ -138,7 +140,7 @@
             self.handover.tell(self.router.out())
         self.router.balancer.beside = sum(living.values())
         excluded = self.handover.excluded()
-        for name in excluded ^ self.router.excluded:
+        for name in sorted(excluded ^ self.router.excluded):
             self.router.yard.remember(name)
             self.router.exclude(name, name in excluded)
         if again and newer:
@@ -200,7 +202,7 @@
     def reload(self) -> None:
         """Takes over what can change while running. A faulty file changes nothing."""
         try:
-            node = reread_node(os.environ, self.keys)
+            node = reread_node(self.environment, self.keys)
         except ValueError as error:
             self.figures.invalid += 1
             return self.log("reload.refused", why=str(error))
@@ -262,4 +264,9 @@
     loop.set_exception_handler(
         lambda _, context: log("error", what=context.get("message"), why=repr(context.get("exception")))
     )
-    await Program(node, log).run()
+    program = Program(node, os.environ, log)
+    await program.start()
+    # What the start made stays: no pause is spent on walking it again.
+    gc.collect()
+    gc.freeze()
+    await program.end()
--- a/dahliabend/net/transport/connection.py
+++ b/dahliabend/net/transport/connection.py
@@ -5,6 +5,7 @@
 import socket
 from collections import deque
 
+from dahliabend.net.transport import machine
 from dahliabend.net.transport.descriptors import Descriptors
 from dahliabend.net.transport.ring import Ring
 
@@ -189,7 +190,7 @@
 
 async def dial(loop: asyncio.AbstractEventLoop, address: tuple[str, int], connection: Connection) -> None:
     """Connects; OSError if that fails. Cancelled, it leaves nothing open."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock = machine.stream_socket()
     try:
         tune(sock)
         await loop.sock_connect(sock, address)
--- a/dahliabend/net/transport/deadlines.py
+++ b/dahliabend/net/transport/deadlines.py
@@ -3,14 +3,15 @@
 import asyncio
 from collections.abc import Callable
 from heapq import heapify, heappop, heappush
-from time import monotonic_ns
+
+from dahliabend.net.transport import machine
 
 FEW = 64  # entries below which dropped ones are not worth clearing out
 
 
 def clock() -> int:
     """Monotonic time in whole microseconds."""
-    return monotonic_ns() // 1000
+    return machine.ticks() // 1000
 
 
 class Deadlines:
--- a/dahliabend/net/transport/listener.py
+++ b/dahliabend/net/transport/listener.py
@@ -5,6 +5,7 @@
 import socket
 from collections.abc import Callable
 
+from dahliabend.net.transport import machine
 from dahliabend.net.transport.connection import Connection, tune
 from dahliabend.net.transport.deadlines import Deadlines, clock
 from dahliabend.net.transport.descriptors import Descriptors
@@ -28,7 +29,7 @@
 
     def open(self, address: tuple[str, int]) -> None:
         """OSError where the address cannot be had."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock = machine.stream_socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setblocking(False)
         try:
@@ -42,7 +43,7 @@
 
     def inherit(self, number: int) -> None:
         """One that others hold too; it listens already. OSError where it is no such thing."""
-        sock = socket.socket(fileno=number)
+        sock = machine.inherited_socket(number)
         if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
             raise OSError(f"PROXY_FD: {number} does not listen")
         sock.setblocking(False)
--- /dev/null
+++ b/dahliabend/net/transport/machine.py
@@ -0,0 +1,29 @@
+"""What the program takes from the machine that it runs on: clocks, sockets, files, the folder that processes
+share. Everything else calls these by way of the module, so that `dahliabend.emulator` can stand in for them.
+"""
+
+import os
+import socket
+from pathlib import Path
+from time import monotonic_ns, time_ns
+
+from dahliabend.net.transport.folder import Folder
+
+ticks = monotonic_ns  # monotonic time in nanoseconds
+wall = time_ns  # Unix time in nanoseconds; all machines read one clock
+process_id = os.getpid
+folder = Folder  # of a path
+
+
+def stream_socket() -> socket.socket:
+    return socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+
+
+def inherited_socket(number: int) -> socket.socket:
+    """OSError where it is none."""
+    return socket.socket(fileno=number)
+
+
+def read_file(path: str) -> bytes:
+    """OSError where it can't be read."""
+    return Path(path).read_bytes()
