--- a/dahliabend/emulator/remains.py
+++ b/dahliabend/emulator/remains.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import gc
+from collections import deque
 
 SPARE = 6  # deadlines and tasks that a program at rest may have more than at the run's start
 
@@ -82,3 +84,25 @@
 def live(program) -> int:
     """Deadlines that are to come."""
     return sum(entry[2] is not None for entry in program.deadlines.heap)
+
+
+def weigh(program) -> dict[str, int]:
+    """What a program holds, by kind: its objects, and what lies in their containers. For long runs, in which
+    none of it may grow with time."""
+    kinds: dict[str, int] = {}
+    seen: set[int] = set()
+    waiting = [program]
+    while waiting:
+        item = waiting.pop()
+        if id(item) in seen:
+            continue
+        seen.add(id(item))
+        kind = type(item)
+        own = kind.__module__.startswith(("dahliabend.net", "dahliabend.decide"))
+        if own or isinstance(item, dict | list | tuple | set | deque):
+            name = kind.__qualname__
+            kinds[name] = kinds.get(name, 0) + 1
+            waiting.extend(gc.get_referents(item))
+        elif hasattr(item, "__self__"):  # a bound method keeps its owner
+            waiting.append(item.__self__)
+    return kinds
--- a/dahliabend/emulator/world.py
+++ b/dahliabend/emulator/world.py
@@ -13,13 +13,13 @@
 from dahliabend.emulator.checks import Class, Rules, Violation
 from dahliabend.emulator.faults import Faults
 from dahliabend.emulator.kernel import EPOCH, START, Kernel, Process, Runaway
-from dahliabend.emulator.network import End, Network, Server, Shape, Socket
+from dahliabend.emulator.network import End, Network, Shape, Socket
 from dahliabend.emulator.peers.clients import Ask, Clients, Front
 from dahliabend.emulator.peers.discovery import Agent, Registry
 from dahliabend.emulator.peers.operators import call
 from dahliabend.emulator.peers.upstream import Upstream, UpstreamSpec
-from dahliabend.emulator.remains import Remains
-from dahliabend.emulator.script import LoadSpec, Scenario, WorldSpec
+from dahliabend.emulator.remains import Remains, weigh
+from dahliabend.emulator.script import LoadSpec, Scenario
 from dahliabend.emulator.stand_ins import Machines
 from dahliabend.emulator.witness import HopTap, Witness
 from dahliabend.net.program.serve import Program
@@ -242,7 +242,9 @@
 
 
 class World:
-    def __init__(self, scenario: Scenario, keep: bool = False) -> None:
+    def __init__(self, scenario: Scenario, every: int = 0) -> None:
+        """`every`: how often the balancers are weighed, in microseconds; 0: never."""
+        self.every, self.weights = every, []
         self.scenario, self.spec, self.load = scenario, scenario.world, scenario.load
         spec = self.spec
         self.chance = Random(f"world {scenario.seed}")
@@ -440,6 +442,10 @@
         self.arrivals()
         kernel.run(self.zero)
         self.remains.begin()
+        if self.every:
+            while kernel.now < self.zero + self.scenario.length:
+                kernel.run(min(kernel.now + self.every, self.zero + self.scenario.length))
+                self.weights.append([weigh(program) for _, program in self.remains.running()])
         kernel.run(self.zero + self.scenario.length)
         self.faults.over()
         kernel.run(kernel.now + max(REST, 2 * spec.limit + spec.conn_idle + 1_500_000))
@@ -453,6 +459,3 @@
 
 def play(scenario: Scenario) -> Result:
     return World(scenario).play()
-
-
-__all__ = ["Balancer", "Node", "Result", "Server", "World", "WorldSpec", "play"]
--- a/tests/emulator/test_sweep.py
+++ b/tests/emulator/test_sweep.py
@@ -177,3 +177,20 @@
         )
     )  # fmt: skip
     assert not result.violations and result.counts["served"] > 50
+
+
+def test_what_a_balancer_holds_does_not_grow_with_time():
+    """A minute with a fault every second, weighed every ten; the first two tenths fill its tables."""
+    kinds = ("drain", "reset", "fail", "end-watch", "reset", "limit", "slow", "flap", "garble", "wrong")
+    faults = [
+        Fault(kinds[n % 10], whom=0 if "w" in kinds[n % 10] else n % 4, at=Span(n * S), size=0.5)
+        for n in range(56)
+    ]
+    faults = [f for f in faults if f.what not in ("end-watch", "wrong") or f.whom < 2]
+    world = World(
+        scenario(*faults, length=Span(60 * S), load={"requests": 1_500, "over": Span(60 * S)}), 10 * S
+    )
+    result = world.play()
+    weights = [sum(sum(kinds.values()) for kinds in each) for each in world.weights]
+    assert not result.violations and result.counts["asked"] >= 1_500
+    assert max(weights[3:]) < 1.1 * max(weights[1:3]) + 200, weights
