--- a/dahliabend/cli/__init__.py
+++ b/dahliabend/cli/__init__.py
@@ -13,9 +13,8 @@
     from dahliabend.cli.commands import group
 
     try:
-        group.main(prog_name="dahliabend", standalone_mode=False)
-    except click.exceptions.Exit as end:
-        return end.exit_code
+        status = group.main(prog_name="dahliabend", standalone_mode=False)
+        return status if isinstance(status, int) else 0
     except click.ClickException as error:
         error.show()
         return error.exit_code
@@ -24,4 +23,3 @@
     except ValueError as error:
         print(f"dahliabend: {error}", file=sys.stderr)
         return 2
-    return 0
--- a/dahliabend/cli/commands.py
+++ b/dahliabend/cli/commands.py
@@ -1,13 +1,76 @@
-"""All commands, each of a module of its own."""
+"""All commands, each of a module of its own, imported when it is called."""
+
+import importlib
 
 import click
 
-from dahliabend.cli.emulate import emulate
+PLACES = {
+    "emulate": "dahliabend.cli.emulate:emulate",
+    "check": "dahliabend.cli.routes:check",
+    "show": "dahliabend.cli.routes:show",
+    "explain": "dahliabend.cli.routes:explain",
+    "diff": "dahliabend.cli.routes:diff",
+}
+HELP = {
+    "emulate": "The network code on a virtual clock, against faults from seeds or files.",
+    "check": "Says all that is wrong with an operator's file, by line.",
+    "show": "Every setting in force, and the line that says it.",
+    "explain": "Which route a request takes, why, what will be tried and for how long.",
+    "diff": "What a reload from one file to another would change.",
+}
+
+
+class Lazy(click.Group):
+    """One command's libraries are not loaded for another."""
+
+    def list_commands(self, context) -> list[str]:
+        return sorted([*super().list_commands(context), *PLACES])
+
+    def get_command(self, context, name: str):
+        if name not in PLACES:
+            return super().get_command(context, name)
+        module, _, attribute = PLACES[name].partition(":")
+        try:
+            return getattr(importlib.import_module(module), attribute)
+        except ModuleNotFoundError as error:
+            raise click.ClickException(f"{error.name} is missing: pip install 'dahliabend[tools]'") from None
+
+    def format_commands(self, context, formatter) -> None:
+        own = [
+            (name, super(Lazy, self).get_command(context, name)) for name in super().list_commands(context)
+        ]
+        rows = {name: command.get_short_help_str(80) for name, command in own} | HELP
+        with formatter.section("Commands"):
+            formatter.write_dl(sorted(rows.items()))
 
 
-@click.group()
+@click.group(cls=Lazy)
 def group() -> None:
-    """A load balancer for services that call services. Without arguments it serves, as PROXY_CONFIG says."""
+    """A load balancer for services that call services.
+
+    Without arguments it serves, as the file at PROXY_CONFIG says.
+    """
+
+
+@group.command()
+@click.option("--json", "as_json", is_flag=True)
+def version(as_json: bool) -> None:
+    """The version of this program."""
+    from importlib.metadata import PackageNotFoundError
+    from importlib.metadata import version as installed
+
+    import dahliabend
+
+    try:
+        number = installed("dahliabend")
+    except PackageNotFoundError:  # run from a checkout
+        number = dahliabend.__version__
+    click.echo(f'{{"version": "{number}"}}' if as_json else f"dahliabend {number}")
+
 
+@group.command()
+def serve() -> None:
+    """Serves, as PROXY_CONFIG says; the same as no argument at all."""
+    from dahliabend.__main__ import run
 
-group.add_command(emulate)
+    raise click.exceptions.Exit(run())
--- a/dahliabend/emulator/script.py
+++ b/dahliabend/emulator/script.py
@@ -4,39 +4,14 @@
 faults and what can't be in that world are refused by path. `draw` makes a scenario from a seed.
 """
 
-import re
 from pathlib import Path
 from random import Random
 from typing import Literal
 
 import msgspec
 
-_SPAN = re.compile(r"(-?\d+(?:\.\d+)?)(us|ms|s)")
-_UNITS = {"us": 1, "ms": 1_000, "s": 1_000_000}
-
-
-class Span(int):
-    """Microseconds, written with a unit.
-
-    >>> Span.read("1.5s"), Span.read("-1us"), str(Span(2500)), str(Span(2_000_000))
-    (1500000, -1, '2500us', '2s')
-    """
-
-    @classmethod
-    def read(cls, text: str) -> "Span":
-        found = _SPAN.fullmatch(text)
-        if found is None:
-            raise ValueError(f"{text!r} is no span of time: a number with us, ms or s behind it")
-        return cls(round(float(found[1]) * _UNITS[found[2]]))
-
-    def __str__(self) -> str:
-        for unit in ("s", "ms"):
-            if self % _UNITS[unit] == 0:
-                return f"{self // _UNITS[unit]}{unit}"
-        return f"{int(self)}us"
-
-    __repr__ = int.__repr__
-
+from dahliabend.settings import units
+from dahliabend.settings.units import Span
 
 MS, S = 1_000, 1_000_000
 
@@ -152,14 +127,6 @@
     breaks: str = ""  # the rule that a regression file once broke
 
 
-def _decode(kind: type, value: object) -> Span:
-    if kind is Span:
-        if not isinstance(value, str):
-            raise ValueError(f"{value!r} has no unit: write it as '{value}ms' or '{value}s'")
-        return Span.read(value)
-    raise NotImplementedError(kind)
-
-
 def encode(scenario: Scenario) -> bytes:
     return msgspec.json.format(msgspec.json.encode(_plain(scenario))) + b"\n"
 
@@ -185,9 +152,9 @@
 def decode(text: bytes, name: str = "script.json") -> Scenario:
     """ValueError says by path what is wrong."""
     if name.endswith(".toml"):
-        made = msgspec.toml.decode(text, type=Scenario, dec_hook=_decode)
+        made = msgspec.toml.decode(text, type=Scenario, dec_hook=units.decode)
     else:
-        made = msgspec.json.decode(text, type=Scenario, dec_hook=_decode)
+        made = msgspec.json.decode(text, type=Scenario, dec_hook=units.decode)
     check(made)
     return made
 
--- /dev/null
+++ b/dahliabend/settings/types.py
@@ -0,0 +1,110 @@
+"""What an operator's file may say, with the defaults, in one place. Times are microseconds once read."""
+
+from typing import Literal
+
+import msgspec
+
+from dahliabend.settings.units import Rate, Share, Size, Span
+
+MS, S = 1_000, 1_000_000
+Effect = Literal["idempotent", "journalled", "non-idempotent"]
+
+
+class Table(msgspec.Struct, rename="kebab", kw_only=True):
+    """A table of the file."""
+
+
+class Treatment(Table, kw_only=True):
+    """How a transaction is treated. A route's go before its class's, and these before the file's defaults."""
+
+    hop_time: Span | None = None  # that one hop may take
+    total_time: Span | None = None  # all hops together; the class's hard limit, if left out
+    attempts: int | None = None  # hops at the most
+    replays: int | None = None  # of these, after a hop that may have run
+    second_copy_after: Span | None = None  # a second hop beside a slow first one
+    retry_share: Share | None = None  # of first hops: what may be spent on hops after one that may have run
+    concurrency: int | None = None  # transactions in hand at once
+    rate: Rate | None = None
+    burst: int | None = None  # transactions that may come at once above the rate
+
+
+class Defaults(Treatment, kw_only=True):
+    most_retry_share: Share = Share(0.25)  # what a route's and its fallback's may come to together
+
+
+class Listener(Table, kw_only=True):
+    address: str
+
+
+class Log(Table, kw_only=True):
+    level: Literal["debug", "info", "warning", "error"] = "info"
+    access: bool = False  # a line for each transaction
+    sample: dict[str, Share] = {}  # by event: the share of lines that is kept
+
+
+class Cold(Table, kw_only=True):
+    share: Share = Share(0.2)  # of its capacity that an upstream has at its start
+    time: Span = Span(10 * S)  # until it has all
+    multiple: float = 3.0  # of what it bears: sent more, it falls over
+
+
+class Member(Table, kw_only=True):
+    id: str
+    address: str
+    zone: str = ""
+    cell: int = 0
+    weight: float = 1.0
+
+
+class Pool(Table, kw_only=True):
+    """Upstreams with one set of decisions. Exactly one of the first three says who they are."""
+
+    discovery: str | None = None
+    members: list[Member] | None = None
+    file: str | None = None  # in discovery's form, watched
+    fallback: str | None = None
+    fallback_below: Share = Share(0.0)  # of its upstreams ready: from there on the fallback takes over
+    balancers: int = 1
+    probes: bool = False
+    cancels: bool = True
+    idle: Span = Span(15 * S)  # connections at rest are closed after that
+    dial_time: Span = Span(250 * MS)
+    grace: Span = Span(1_500 * MS)  # after the news that one drains
+    cold: Cold = msgspec.field(default_factory=Cold)
+
+
+class Class(Treatment, kw_only=True):
+    effect: Effect
+    service_goal: Span
+    hard_limit: Span
+    revenue: float = 1.0
+    late_share: Share = Share(0.0)  # of the revenue, for an answer after the goal
+    group: Literal["all", "zone", "cell"] = "all"
+    repeat_window: Span = Span(0)
+    longest_body: Size = Size(32 << 20)
+
+
+class Route(Treatment, kw_only=True):
+    name: str
+    class_: str = msgspec.field(name="class")
+    path: str = "/"  # a prefix, by whole segments
+    methods: list[str] = []  # none: all
+    headers: dict[str, str] = {}  # all have to be there, with that value
+    pool: str | None = None
+    pools: dict[str, float] | None = None  # by weight
+    split_by: str | None = None  # a header: the same value goes to the same pool
+    fallback: str | None = None  # in place of its pool's
+    mirror: str | None = None  # a pool that gets copies whose answers are thrown away
+    mirror_share: Share = Share(1.0)
+
+
+class File(Table, kw_only=True):
+    """The whole file, after its includes."""
+
+    include: list[str] = []
+    listeners: dict[str, Listener] = {}
+    log: Log = msgspec.field(default_factory=Log)
+    defaults: Defaults = msgspec.field(default_factory=Defaults)
+    pools: dict[str, Pool] = {}
+    classes: dict[str, Class] = {}
+    routes: list[Route] = []
