A hop's connection has its place in the table before it dials: many at once overran it

After a standstill many started in one turn, all found the same room, and the table gave number -1. Such a connection at rest made the listener fail at every accept from then on: callers were closed without an answer until a restart.

Change: the place is taken where room is looked for; a dialling given up before it began gives it back. What is held on a way that was cut no longer is overtaken by what was on its way (the emulator's own).

--- a/dahliabend/cli/commands.py
+++ b/dahliabend/cli/commands.py
@@ -69,8 +69,31 @@
 
 
 @group.command()
-def serve() -> None:
-    """Serves, as PROXY_CONFIG says; the same as no argument at all."""
+@click.argument("file", required=False)
+def serve(file: str | None) -> None:
+    """Serves: by an operator's FILE, or without one as PROXY_CONFIG says."""
     from dahliabend.__main__ import run
 
-    raise click.exceptions.Exit(run())
+    if file is None:
+        raise click.exceptions.Exit(run())
+    import signal
+
+    import uvloop
+
+    from dahliabend.net.program.log import Log
+    from dahliabend.net.program.serve import HELD_BACK
+    from dahliabend.net.program.service import Refused, serve_file
+
+    signal.pthread_sigmask(signal.SIG_BLOCK, HELD_BACK)
+    log = Log("dahliabend")
+    try:
+        uvloop.run(serve_file(file, log))
+    except Refused as error:
+        for fault in error.faults:
+            click.echo(str(fault), err=True)
+        raise click.exceptions.Exit(2) from None
+    except OSError as error:
+        log("failed", why=str(error))
+        raise click.exceptions.Exit(1) from None
+    finally:
+        log.end()
--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -28,7 +28,7 @@
 SILENT = 4  # of the tier's usual time, with hops out and nothing heard: the upstream is set aside
 PATIENCE = 8  # of a profile's usual time, or half its goal: a hop that may be repeated waits no longer
 UNWELL = 2 / 5  # a metric at which an upstream is set aside, where the tier holds less than half of that
-RETRIES, SAVED = 1 / 10, 10  # of first hops: what may be spent on hops after one that may have run, and kept
+SAVED = 10  # hops after one that may have run: as many as are kept of the settings' share of first hops
 ADVICE = 1 / 4  # of the service goal: when a client rolled back is told to come back
 MEMORY = 1 / 16  # weight of the newest sample in a running mean
 RECENT = 1 / 6  # the same for the pace of an upstream, which gets few hops
@@ -111,7 +111,7 @@
         self.coming, self.spent, self.flowing = coming, False, False
         self.home, self.ref, self.profile, self.end = home, ref, profile, deadline
         self.kind, self.value = home.profiles[profile], home.values[profile]
-        self.hops, self.out, self.done = [], 0, False
+        self.hops, self.out, self.done, self.most = [], 0, False, self.kind.most_hops or home.most_hops
 
     @property
     def over(self) -> bool:
@@ -124,7 +124,7 @@
     def repeatable(self, now: int) -> bool:
         """May it be sent again? None has an effect twice, and never are two hops out at once."""
         risk, effect = self.risk(), self.kind.effect
-        if self.spent or self.out:
+        if self.spent or self.out or 0 <= self.kind.replays < sum(hop.may_have_run for hop in self.hops):
             return False
         journalled = effect is Effect.JOURNALLED and risk and now < risk.sent + self.kind.repeat_window
         return not risk or effect is Effect.IDEMPOTENT or journalled
@@ -168,7 +168,7 @@
         self.profiles, self.most_hops, self.zone = s.profiles, s.most_hops, s.zone
         self.may_cancel, self.may_probe = s.may_cancel, s.may_probe
         self.entrance = s.tier == 0  # calls of the tiers behind are work already paid for
-        self.fee, self.excess = s.cross_zone_fee, s.excess_share
+        self.fee, self.excess, self.retries = s.cross_zone_fee, s.excess_share, s.retry_share
         self.advice = s.longest_advice if s.advises else 0
         self.ask_again = s.ask_within // 8 if s.ask_for_list else 0
         self.cold_from, self.cold_time, self.cold_excess = s.cold_share, s.cold_time, s.cold_multiple / 2
@@ -297,7 +297,7 @@
         return left >= 1
 
     def send(self, tx: Transaction, now: int) -> None:
-        if now >= tx.end or len(tx.hops) >= self.most_hops or not tx.repeatable(now):
+        if now >= tx.end or len(tx.hops) >= tx.most or not tx.repeatable(now):
             return self.give_up(tx)
         u = self.try_aside(tx, now) or self.choose(tx, now)
         if u and not tx.hops:
@@ -313,12 +313,12 @@
                     u = None
         if not u:
             return self.give_up(tx)
-        self.credit = self.credit if tx.hops else min(SAVED, self.credit + RETRIES)
+        self.credit = self.credit if tx.hops else min(SAVED, self.credit + self.retries)
         self.dispatch(tx, u, now)
         self.port.send(tx.ref, u.index, self.hop_time(tx, now))
 
     def hop_time(self, tx: Transaction, now: int) -> int:
-        hop_time = tx.end - now
+        hop_time = min(tx.end - now, tx.kind.hop_time or tx.end - now)
         if self.usual[tx.profile] and not self.tier.metric and self.credit >= 1 and self.may_follow(tx):
             hop_time = min(hop_time, self.patience(tx))
         return max(1, hop_time)
@@ -335,7 +335,7 @@
         return u if may else None
 
     def may_follow(self, tx: Transaction) -> bool:
-        return tx.kind.effect is not Effect.NON_IDEMPOTENT and len(tx.hops) < self.most_hops and not tx.spent
+        return tx.kind.effect is not Effect.NON_IDEMPOTENT and len(tx.hops) < tx.most and not tx.spent
 
     def patience(self, tx: Transaction) -> int:
         """How long a hop that may be repeated waits."""
--- a/dahliabend/emulator/checks.py
+++ b/dahliabend/emulator/checks.py
@@ -216,8 +216,8 @@
 
     def given(self, hop: Hop) -> bool:
         """Was all of its answer sent, with nothing that broke the connection since?"""
-        lost = hop.connection in self.torn_ones or self.connections[hop.connection].reset_seen
-        return hop.gave and not lost
+        end = self.connections[hop.connection]
+        return hop.gave and not (hop.connection in self.torn_ones or end.reset_seen or end.peer.reset_seen)
 
     def spoilt(self, trace: str, why: str) -> None:
         self.broken("whole answer", f"{trace}: unreadable: {why}")
--- a/dahliabend/emulator/kernel.py
+++ b/dahliabend/emulator/kernel.py
@@ -115,7 +115,8 @@
         except (KeyboardInterrupt, SystemExit, Runaway):
             raise
         except BaseException as error:  # what a real loop does with it
-            owner.loop.call_exception_handler({"message": repr(call), "exception": error})
+            name = getattr(call, "__qualname__", type(call).__name__)  # no address: runs are to be the same
+            owner.loop.call_exception_handler({"message": name, "exception": error})
         finally:
             self.current = before
             events._set_running_loop(running)
--- a/dahliabend/emulator/network.py
+++ b/dahliabend/emulator/network.py
@@ -342,12 +342,16 @@
             call(*arguments)
 
     def send_again(self) -> None:
+        """What is held comes some time later; what comes meanwhile waits behind it."""
         if self.held:
+            wait = int(self.network.chance.random() * AGAIN)
+            self.network.kernel.at(self.network.kernel.now + wait, None, self.let_through)
+
+    def let_through(self) -> None:
+        if not self.network.blocked(self.local[0], self.remote[0]):
             held, self.held = self.held, []
-            due = self.network.kernel.now + int(self.network.chance.random() * AGAIN)
-            due = self.arrived_last = max(due, self.arrived_last)
             for call, arguments in held:
-                self.network.kernel.at(due, None, self.cross, call, arguments)
+                call(*arguments)
 
     def lose(self) -> None:
         """From now on nothing on this connection arrives, either way, until ways are mended."""
--- a/dahliabend/model.py
+++ b/dahliabend/model.py
@@ -62,6 +62,9 @@
     hard_limit: int
     revenue: float
     late_share: float  # of the revenue, for an answer after the service goal
+    hop_time: int = 0  # that one hop may take; 0: what is left
+    most_hops: int = 0  # 0: as the settings say
+    replays: int = -1  # hops after ones that may have run; -1: as many as the effect allows
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +89,7 @@
     cold_share: float
     cold_time: int
     cold_multiple: float
+    retry_share: float = 0.1  # of first hops: what may be spent on hops after one that may have run
 
 
 class Port(Protocol):
--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -78,7 +78,7 @@
             self.listener.open(self.listen)
         else:
             self.listener.inherit(self.inherited)
-        self.log("listening", address=":".join(map(str, self.listen)), entrance=self.router.balancer.entrance)
+        self.log("listening", address=":".join(map(str, self.listen)))
         self.beat()
         self.sweep()
 
--- /dev/null
+++ b/dahliabend/net/program/service.py
@@ -0,0 +1,301 @@
+"""A balancer that goes by an operator's file: several pools behind one listener, reloaded whole."""
+
+import asyncio
+import gc
+import os
+from collections.abc import Callable, Mapping
+
+import orjson
+
+from dahliabend.config import REST, Node, address
+from dahliabend.model import Effect, Group, Profile, Settings
+from dahliabend.net.program.figures import Figures
+from dahliabend.net.program.log import Log
+from dahliabend.net.program.operations import Operations
+from dahliabend.net.program.serve import BEAT, Program
+from dahliabend.net.protocol.discovery import Book, Discovery
+from dahliabend.net.routing.desk import Desk, Pool
+from dahliabend.net.routing.router import Router
+from dahliabend.net.routing.upstreams import Yard
+from dahliabend.net.transport import machine
+from dahliabend.net.transport.deadlines import Deadlines, clock
+from dahliabend.net.transport.descriptors import DOOR, OTHERS, Descriptors
+from dahliabend.net.transport.listener import Listener
+from dahliabend.routes.checks import Effective, targets
+from dahliabend.routes.plan import RESTART, Plan, diff, plan
+from dahliabend.settings import types
+from dahliabend.settings.types import File
+
+SOCKETS = 4096  # descriptors, where the environment says nothing
+MOST_HELD = 20_000
+LOOK = 1_000_000  # how often a pool's file is read again
+SLACK = 20_000  # a caller's limit may be this much nearer than it looks
+
+_EFFECTS = {
+    "idempotent": Effect.IDEMPOTENT,
+    "journalled": Effect.JOURNALLED,
+    "non-idempotent": Effect.NON_IDEMPOTENT,
+}
+_GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+
+
+class Refused(ValueError):
+    """A file that has faults; all of them stand in it."""
+
+    def __init__(self, faults) -> None:
+        super().__init__("; ".join(map(str, faults)))
+        self.faults = faults
+
+
+def routes_of(file: File, pool: str) -> list[int]:
+    """The routes whose transactions may come to that pool."""
+    found = []
+    for number, route in enumerate(file.routes):
+        reach, waiting = set(), [*targets(route), route.mirror, route.fallback]
+        while waiting:
+            name = waiting.pop()
+            if name is not None and name not in reach:
+                reach.add(name)
+                waiting.append(file.pools[name].fallback)
+        if pool in reach:
+            found.append(number)
+    return found
+
+
+def profile_of(file: File, number: int) -> Profile:
+    """A route as the decisions know it: its class, with its own times and counts."""
+    route = file.routes[number]
+    kind, made = file.classes[route.class_], Effective(file, route, number)
+    limit = min(kind.hard_limit, made.total_time)
+    return Profile(
+        effect=_EFFECTS[kind.effect], group=_GROUPS[kind.group], repeat_window=kind.repeat_window,
+        service_goal=min(kind.service_goal, limit), hard_limit=limit, revenue=kind.revenue,
+        late_share=float(kind.late_share), hop_time=made.hop_time or 0, most_hops=made.attempts,
+        replays=made.replays,
+    )  # fmt: skip
+
+
+def settings_of(file: File, name: str, numbers: list[int]) -> Settings:
+    pool = file.pools[name]
+    shares = [s for n in numbers if (s := Effective(file, file.routes[n], n).retry_share) is not None]
+    profiles = tuple(profile_of(file, number) for number in numbers)
+    return Settings(
+        balancers=pool.balancers, number=-1, tier=0, zone=0, profiles=profiles or (IDLE,), allowances=(),
+        excess_share=1.0, whole_weight=1.0, class_weight=0.0, cross_zone_fee=0.0,
+        most_hops=max((p.most_hops for p in profiles), default=1), may_cancel=pool.cancels,
+        may_probe=pool.probes, advises=True, longest_advice=3_000_000, ask_for_list=False, ask_within=0,
+        cold_share=float(pool.cold.share), cold_time=pool.cold.time, cold_multiple=pool.cold.multiple,
+        retry_share=float(min(shares, default=0.1)),
+    )  # fmt: skip
+
+
+IDLE = Profile(Effect.IDEMPOTENT, Group.ALL, 0, 1_000_000, 2_000_000, 1.0, 0.0)  # of a pool without a route
+
+
+def node_of(made: Plan, name: str, seed: int, sockets: int) -> tuple[Node, dict[int, int]]:
+    """What a pool's router goes by, and the profile of each route."""
+    file, pool = made.file, made.file.pools[name]
+    numbers = routes_of(file, name)
+    settings = settings_of(file, name, numbers)
+    zones = sorted({member.zone for member in pool.members or ()})
+    node = Node(
+        name=name, listen=("", 0), discovery=("", 0), admin=None, inherited=None, shared="", seed=seed,
+        sockets=sockets, known={}, verbose=False, settings=settings,
+        profiles={file.routes[number].name.encode(): n for n, number in enumerate(numbers)},
+        customers={}, zones={zone: n for n, zone in enumerate(zones)},
+        longest=tuple(profile.hard_limit for profile in settings.profiles), slack=SLACK,
+        dial_time=pool.dial_time, rest=round(pool.idle * REST), probe_time=2 * pool.dial_time,
+        most_held=MOST_HELD, report_fields=(), unmet=(), keys=frozenset(),
+        epoch=machine.ticks() // 1000 - machine.wall() // 1000,
+    )  # fmt: skip
+    return node, {number: n for n, number in enumerate(numbers)}
+
+
+class Members:
+    """A pool's list where no discovery keeps it: in the operator's file, or in one of its own, watched."""
+
+    def __init__(self, book: Book, deadlines: Deadlines, log: Callable) -> None:
+        self.book, self.deadlines, self.log = book, deadlines, log
+        self.tried, self.path, self.text, self.again = True, "", b"", None
+
+    def say(self, members: list[types.Member]) -> None:
+        self.tell(
+            [{"id": m.id, "addr": m.address, "zone": m.zone, "cell": m.cell, "weight": m.weight,
+              "state": "up"} for m in members]
+        )  # fmt: skip
+
+    def tell(self, rows: list[dict]) -> None:
+        message = {"version": self.book.version + 1, "full": True, "servers": rows}
+        self.book.read(message, first=True)
+
+    def watch(self, path: str) -> None:
+        self.stop()
+        self.path = path
+        self.look()
+
+    def look(self) -> None:
+        self.again = self.deadlines.at(clock() + LOOK, self.look)
+        try:
+            text = machine.read_file(self.path)
+            if text == self.text:
+                return
+            rows = orjson.loads(text)["servers"]
+            if not isinstance(rows, list):
+                raise ValueError("servers is no list")
+        except (OSError, ValueError, KeyError, TypeError) as error:
+            # Half a file, or none for a moment: what is known holds, nothing is taken out for it.
+            return self.log("members.unread", file=self.path, why=str(error))
+        self.text = text
+        self.tell(rows)
+
+    def open(self) -> None: ...
+
+    def stop(self) -> None:
+        self.deadlines.drop(self.again)
+
+
+class Service(Program):
+    """As `Program`, with a desk of routes in place of one router."""
+
+    def __init__(self, path: str, environment: Mapping[str, str], log: Log) -> None:
+        loop = asyncio.get_running_loop()
+        self.path, self.environment, self.log = path, environment, log
+        self.plan = made = self.read()
+        self.listen, self.admin = self.listener_of(made, "callers"), self.listener_of(made, "operators")
+        if self.listen is None:
+            raise Refused([f"{path}:1: listeners.callers: is missing: where do callers come?"])
+        self.done = loop.create_future()
+        self.sockets = int(environment.get("DAHLIABEND_SOCKETS") or SOCKETS)
+        self.seed = int(environment.get("DAHLIABEND_SEED") or "0", 16) or machine.wall()
+        self.deadlines = Deadlines(loop)
+        self.descriptors = Descriptors(self.sockets - (DOOR if self.admin else 0))
+        self.figures = Figures()
+        self.router = self.desk = Desk(self.figures, log, self.seed)
+        self.listener = Listener(self.deadlines, self.descriptors, self.accept)
+        self.door, self.operations = Descriptors(OTHERS + DOOR), Operations(self, log)
+        self.door_listener = Listener(self.deadlines, self.door, self.accept_operator)
+        self.inherited = self.handover = None
+        self.older, self.clearing, self.halved = [], None, False
+        self.discovery = self  # `start` opens it, `end` stops it
+        self.patience = 0
+        self.take_over_plan(made)
+
+    def read(self) -> Plan:
+        """ValueError names every fault."""
+        made = plan(self.path, environment=self.environment, read=machine.read_file)
+        if not made.usable:
+            raise Refused(made.faults)
+        return made
+
+    def listener_of(self, made: Plan, name: str) -> tuple[str, int] | None:
+        found = made.file.listeners.get(name)
+        return address(found.address) if found is not None else None
+
+    # Pools.
+
+    def take_over_plan(self, made: Plan) -> None:
+        file, profiles = made.file, {}
+        for name, pool in file.pools.items():
+            node, profiles[name] = node_of(made, name, self.seed, self.sockets)
+            self.patience = max(self.patience, *node.longest)
+            running = self.desk.names.get(name)
+            if running is None:
+                running = self.open_pool(name, node)
+            else:
+                running.router.yard.dial_time, running.router.yard.rest = node.dial_time, node.rest
+                running.router.switch(node)
+            self.list_of(running, pool)
+        self.desk.use(file, profiles)
+        for name in [name for name in self.desk.names if name not in file.pools]:
+            self.desk.retire(name)
+        self.log.verbose = file.log.level == "debug"
+        self.plan = made
+
+    def open_pool(self, name: str, node: Node) -> Pool:
+        yard = Yard(self.deadlines, self.descriptors, node.dial_time, node.rest, self.log.debug)
+        router = Router(node, self.deadlines, yard, self.figures, self.log)
+        yard.sweep()
+        return self.desk.add(name, router)
+
+    def list_of(self, running: Pool, pool: types.Pool) -> None:
+        """Where its members come from, now. What is known of them stays."""
+        router, before = running.router, running.router.discovery
+        if pool.discovery is not None:
+            if isinstance(before, Discovery):
+                return before.move(address(pool.discovery))
+            book = Book(router, self.log)
+            keeper = Discovery(
+                address(pool.discovery), book, self.deadlines, self.descriptors, router.yard.dial_time,
+                router.balancer.chance, self.log,
+            )  # fmt: skip
+            self.deadlines.loop.call_soon(keeper.open)
+        else:
+            keeper = before
+            if not isinstance(before, Members):
+                keeper = Members(Book(router, self.log), self.deadlines, self.log)
+            if pool.members is not None:
+                keeper.stop()
+                keeper.say(pool.members)
+            else:
+                keeper.watch(os.path.join(os.path.dirname(self.path), pool.file))
+        if before is not None and before is not keeper:
+            before.stop()
+        router.discovery, running.stop = keeper, keeper.stop
+
+    def open(self) -> None: ...
+
+    def stop_lists(self) -> None:
+        for pool in self.desk:
+            pool.stop()
+
+    async def end(self) -> None:
+        await self.done
+        self.stop_lists()
+        self.log("ended", counts=self.desk.counts)
+
+    # Reload, whole or not at all.
+
+    def reload(self) -> None:
+        try:
+            made = self.read()
+        except ValueError as error:
+            self.figures.invalid += 1
+            faults = getattr(error, "faults", [error])
+            return self.log("reload.refused", faults=[str(fault) for fault in faults])
+        changes = diff(self.plan, made)
+        self.figures.accepted += 1
+        if made.file.listeners.get("callers") is None:
+            made.file.listeners.update(self.plan.file.listeners)
+        self.take_over_plan(made)
+        passed_over = [c["key"] for c in changes if c["key"].partition(".")[0] in RESTART]
+        self.log("reloaded", changes=len(changes), passed_over=passed_over)
+
+    # Figures.
+
+    def beat(self) -> None:
+        for pool in self.desk.clear():
+            pool.stop()
+            for upstream in tuple(pool.router.yard.upstreams):
+                pool.router.yard.forget(upstream)
+            self.log("pool.gone", pool=pool.name)
+        for pool in self.desk:
+            balancer = pool.router.balancer
+            self.log(
+                "figures", pool=pool.name, counts=pool.router.counts, held=len(pool.router.tickets),
+                out=balancer.out, crowd=round(balancer.ceiling, 1), tier=round(balancer.tier.metric, 2),
+                ready=len(balancer.ready), retired=pool.retired,
+            )  # fmt: skip
+        self.deadlines.at(clock() + BEAT, self.beat)
+
+
+async def serve_file(path: str, log: Log) -> None:
+    loop = asyncio.get_running_loop()
+    log.attach(loop)
+    loop.set_exception_handler(
+        lambda _, context: log("error", what=context.get("message"), why=repr(context.get("exception")))
+    )
+    service = Service(path, os.environ, log)
+    await service.start()
+    gc.collect()
+    gc.freeze()
+    await service.end()
--- a/dahliabend/net/protocol/callers.py
+++ b/dahliabend/net/protocol/callers.py
@@ -3,6 +3,7 @@
 import socket
 import struct
 from collections import deque
+from collections.abc import Callable
 from typing import Protocol
 
 import httptools
@@ -23,8 +24,12 @@
 class Desk(Protocol):
     """Where transactions are taken. The number returned names one until it is answered; -1: answered."""
 
-    profiles: dict[bytes, int]
+    methods: frozenset[bytes]  # that it serves
 
+    def sort(self, method: bytes, path: bytes, fields: dict[bytes, bytes]) -> tuple[bytes, int] | None: ...
+    def marks(
+        self, profile: int, fields: dict[bytes, bytes]
+    ) -> tuple[bytes, bytes]: ...  # id and ms it waits
     def take(
         self, caller, profile: int, method: bytes, target: bytes, passed: bytes, body: bytes, *,
         expires: int, began: int, customer: bytes, again: bool, trace: bytes, upload: Body | None,
@@ -47,6 +52,7 @@
         self.queue: deque[tuple] = deque()  # requests that have come whole
         self.ticket = -1  # of the transaction that is being served
         self.profile = b""  # the known one that it names, until its answer has gone
+        self.settle: Callable | None = None  # called then: a limit's place is given back
         self.serving = self.keep = self.last = self.served = False
         self.fault = 0  # the status that ends this connection, once all before it is answered
         self.stalled: list | None = None  # the deadline of a request half come, or of an answer half gone
@@ -193,7 +199,7 @@
             return self.refuse(self.fault)
         if self.fault and not self.serving and not self.closed and not self.last:
             self.serving, self.keep = True, False
-            self.name(self.target)
+            self.name(b"", self.target.partition(b"?")[0], {})
             self.refuse(self.fault)
         elif self.began and (not self.serving or self.upload is not None) and not self.stalled_at():
             self.expect(self.began)  # half a request: a trickle would hold its descriptor for ever
@@ -208,16 +214,16 @@
             self.upload, body = (None, b"".join(body.parts)) if body.whole else (body, b"")
         if target[:7].lower() == b"http://":  # as to a proxy
             target = b"/" + target[7:].partition(b"/")[2]
-        if method not in (b"GET", b"POST"):
+        if method not in self.desk.methods:
             return self.refuse(405)
         path = target.partition(b"?")[0]
         if path == wire.READY:
             ready = self.desk.ready()
             return self.answer(200 if ready else 503, b"", b"ready\n" if ready else b"not ready\n")
-        profile = self.name(path)
+        profile = self.name(method, path, fields)
         if profile is None:
             return self.refuse(404)
-        trace, expires = fields.get(wire.TRACE, b""), fields.get(wire.EXPIRES, b"")
+        trace, expires = self.desk.marks(profile, fields)
         if not 0 < len(trace) <= LONGEST_ID or not expires.isdigit() or len(expires) > 12 or not int(expires):
             return self.refuse(400)
         self.ticket = self.desk.take(
@@ -226,19 +232,22 @@
             again=fields.get(wire.SECOND_TRY) == b"1", trace=trace, upload=self.upload,
         )  # fmt: skip
 
-    def name(self, path: bytes) -> int | None:
-        """Which profile the path names, if it is a known one. From now on its request counts as open."""
-        name = path.partition(b"?")[0][1:].partition(b"/")[0]
-        profile = self.desk.profiles.get(name) if path[:1] == b"/" else None
-        if profile is not None:
-            self.profile = name
-            self.desk.opened()
+    def name(self, method: bytes, path: bytes, fields: dict[bytes, bytes]) -> int | None:
+        """Which profile it is of, if of a known one. From now on its request counts as open."""
+        found = self.desk.sort(method, path, fields)
+        if found is None:
+            return None
+        self.profile, profile = found
+        self.desk.opened()
         return profile
 
     def over(self) -> None:
         if self.profile:
             self.profile = b""
             self.desk.ended()
+            settle, self.settle = self.settle, None
+            if settle is not None:
+                settle()
 
     def refuse(self, status: int) -> None:
         allow = b"Allow: GET, POST\r\n" if status == 405 else b""
--- /dev/null
+++ b/dahliabend/net/routing/desk.py
@@ -0,0 +1,209 @@
+"""Takes callers' requests by an operator's routes, into pools that have decisions of their own."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from random import Random
+
+from dahliabend.net.protocol.bodies import Body
+from dahliabend.net.protocol.headers import EXPIRES, TRACE
+from dahliabend.net.routing.router import Router
+from dahliabend.net.transport.deadlines import clock
+from dahliabend.routes.checks import METHODS
+from dahliabend.routes.choice import Choice, choices
+from dahliabend.routes.table import Table
+from dahliabend.settings.types import File
+
+MOST_POOLS = 1024  # at once; a transaction's number tells its pool by the rest
+ADVICE = 1_000_000  # microseconds at the most that a limit's turning away tells a caller to wait
+NO_ROOM = b"too many of this route\n"
+
+
+class Silent:
+    """The caller of a mirrored transaction: its answer is for nobody."""
+
+    __slots__ = ("closed", "profile")
+
+    def __init__(self, profile: bytes) -> None:
+        self.profile, self.closed = profile, False
+
+    def answer(self, status: int, headers: bytes, body: bytes) -> None: ...
+    def refuse(self, status: int) -> None: ...
+    def begin(self, headers: bytes, length: int | None, source) -> None: ...
+    def more(self, part: bytes) -> None: ...
+    def end(self) -> None: ...
+    def cut(self) -> None: ...
+
+
+@dataclass(slots=True)
+class Pool:
+    """One pool as it runs. `stop` ends what keeps its list."""
+
+    name: str
+    number: int
+    router: Router
+    stop: Callable[[], None] = lambda: None
+    file: str = ""
+    retired: bool = False  # not in the file any more: it ends what it has
+
+    @property
+    def part_ready(self) -> float:
+        """Of its upstreams, how many can be sent to."""
+        balancer = self.router.balancer
+        ready = sum(not u.aside for u in balancer.ready)
+        return ready / max(1, len(balancer.upstreams))
+
+
+@dataclass(slots=True)
+class Routes:
+    """The routes in force. A transaction keeps those that it was taken by."""
+
+    file: File
+    table: Table
+    choices: list[Choice]
+    seen: tuple[str, ...] = ()  # headers that any route asks for
+    profiles: dict[str, dict[int, int]] = field(default_factory=dict)  # by pool: of each route its profile
+
+
+class Desk:
+    """What callers are served by. Numbers of transactions tell the pool too."""
+
+    methods = frozenset(method.encode() for method in METHODS)
+
+    def __init__(self, figures, log: Callable, seed: int) -> None:
+        self.figures, self.log = figures, log
+        self.counted = figures.answered
+        self.chance = Random(seed)
+        self.pools: dict[int, Pool] = {}
+        self.names: dict[str, Pool] = {}
+        self.next = 0
+        self.routes: Routes | None = None
+        self.excluded: set[str] = set()
+        self.evacuated, self.stop_at = False, 0
+        self.turned_away = 0
+
+    # Pools.
+
+    def add(self, name: str, router: Router) -> Pool:
+        made = self.pools[self.next] = self.names[name] = Pool(name, self.next, router)
+        self.next += 1
+        for upstream in self.excluded:
+            router.yard.remember(upstream)
+            router.exclude(upstream, True)
+        return made
+
+    def retire(self, name: str) -> None:
+        """It takes nothing new; gone once its last transaction has ended."""
+        pool = self.names.pop(name)
+        pool.retired = True
+
+    def clear(self) -> list[Pool]:
+        """Pools that have retired and hold nothing: forgotten here, for whoever owns their parts to end."""
+        done = [pool for pool in self.pools.values() if pool.retired and not len(pool.router.tickets)]
+        for pool in done:
+            del self.pools[pool.number]
+        return done
+
+    def use(self, file: File, profiles: dict[str, dict[int, int]]) -> None:
+        """These routes from now on. Turns and buckets go on where a route of that name was there before."""
+        before = {c.name: c for c in self.routes.choices} if self.routes is not None else {}
+        made = choices(file, before)
+        seen = {name.lower() for route in file.routes for name in (*route.headers, route.split_by or "")}
+        self.routes = Routes(file, Table(file.routes), made, tuple(sorted(seen - {""})), profiles)
+        self.figures.know([name.encode() for name in file.classes])
+
+    # What callers bring.
+
+    def sort(self, method: bytes, path: bytes, fields: dict[bytes, bytes]) -> tuple[bytes, int] | None:
+        routes = self.routes
+        headers = {name: fields.get(name.encode(), b"").decode("latin-1") for name in routes.seen}
+        number = routes.table.find(method.decode("latin-1"), path.decode("latin-1"), headers)
+        return None if number is None else (routes.choices[number].profile, number)
+
+    def marks(self, number: int, fields: dict[bytes, bytes]) -> tuple[bytes, bytes]:
+        """The transaction's id and how long its caller waits; made here where it names neither."""
+        trace = fields.get(TRACE) or b"%032x" % self.chance.getrandbits(128)
+        return trace, fields.get(EXPIRES) or b"%d" % (self.routes.choices[number].total // 1000)
+
+    def take(
+        self, caller, number: int, method: bytes, target: bytes, passed: bytes, body: bytes, *,
+        expires: int, began: int, customer: bytes, again: bool, trace: bytes, upload: Body | None = None,
+    ) -> int:  # fmt: skip
+        routes, now = self.routes, clock()
+        choice = routes.choices[number]
+        if not choice.limit.enter(now):
+            self.turned_away += 1
+            wait = min(ADVICE, choice.limit.wait(now))
+            advice = b"Retry-After: %.3f\r\n" % (wait / 1e6) if wait else b""
+            caller.answer(503, advice, NO_ROOM)
+            return -1
+        caller.settle = choice.limit.leave
+        key = caller.fields.get(choice.split_by, b"") if choice.split_by else b""
+        name = choice.pool(key, self.part_ready)
+        pool = self.names[name]
+        profile = routes.profiles[name][number]
+        common = {"expires": expires, "began": began, "customer": customer, "again": again}
+        if choice.mirror and upload is None and self.chance.random() < choice.mirror_share:
+            mirror = self.names[choice.mirror]
+            mirror.router.take(
+                Silent(caller.profile), routes.profiles[choice.mirror][number], method, target, passed, body,
+                trace=trace + b"-m", **common,
+            )  # fmt: skip
+        ticket = pool.router.take(
+            caller, profile, method, target, passed, body, trace=trace, upload=upload, **common
+        )
+        return -1 if ticket < 0 else ticket * MOST_POOLS + pool.number % MOST_POOLS
+
+    def part_ready(self, name: str) -> float:
+        return self.names[name].part_ready
+
+    def left(self, number: int) -> None:
+        ticket, slot = divmod(number, MOST_POOLS)
+        for pool in self.pools.values():
+            if pool.number % MOST_POOLS == slot:
+                pool.router.left(ticket)
+
+    # What the program asks.
+
+    def ready(self) -> bool:
+        """Every pool that a route goes to first has somebody to send to, itself or its fallback."""
+        return not self.closing() and all(
+            any(self.part_ready(name) > 0 for name in choice.reach) for choice in self.routes.choices
+        )
+
+    def closing(self) -> bool:
+        return self.stop_at > 0 or self.evacuated
+
+    def opened(self) -> None:
+        self.figures.open += 1
+
+    def ended(self) -> None:
+        self.figures.open -= 1
+
+    def exclude(self, name: str, out: bool) -> bool:
+        """In every pool that has it: its exclusion is the upstream's, not a pool's."""
+        known = [pool.router.exclude(name, out) for pool in self.pools.values()]
+        if any(known):
+            (self.excluded.add if out else self.excluded.discard)(name)
+        return any(known)
+
+    def stop_by(self, when: int) -> None:
+        self.stop_at = when
+        for pool in self.pools.values():
+            pool.router.stop_by(when)
+
+    @property
+    def tickets(self) -> list:
+        return [ticket for pool in self.pools.values() for ticket in pool.router.tickets]
+
+    @property
+    def counts(self) -> dict[str, dict[str, int]]:
+        return {pool.name: pool.router.counts for pool in self.pools.values()}
+
+    def shown(self) -> dict:
+        by_pool = {pool.name: pool.router.shown() for pool in self.pools.values()}
+        whole = {name: sum(shown[name] for shown in by_pool.values())
+                 for name in ("registry_entries", "out_of_rotation")}  # fmt: skip
+        return whole | {"pools": by_pool, "limited": self.turned_away}
+
+    def __iter__(self) -> Iterator[Pool]:
+        return iter(list(self.pools.values()))
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -7,6 +7,7 @@
 from dahliabend.model import Outcome, State
 from dahliabend.net.protocol.callers import Caller
 from dahliabend.net.protocol.discovery import Discovery
+from dahliabend.net.protocol.headers import EXPIRES, TRACE
 from dahliabend.net.routing.probes import Probe
 from dahliabend.net.routing.upstreams import MOST_ONCE, Errand, Upstream, Yard
 from dahliabend.net.transport.deadlines import Deadlines, clock
@@ -156,6 +157,8 @@
 
 
 class Router:
+    methods = frozenset((b"GET", b"POST"))
+
     def __init__(self, node: Node, deadlines: Deadlines, yard: Yard, figures, log: Callable) -> None:
         self.deadlines, self.yard, self.figures, self.log = deadlines, yard, figures, log
         self.counted = figures.answered
@@ -225,6 +228,15 @@
 
     # What callers and the list bring.
 
+    def sort(self, method: bytes, path: bytes, fields: dict[bytes, bytes]) -> tuple[bytes, int] | None:
+        """The first segment names the profile."""
+        name = path[1:].partition(b"/")[0]
+        profile = self.profiles.get(name) if path[:1] == b"/" else None
+        return None if profile is None else (name, profile)
+
+    def marks(self, profile: int, fields: dict[bytes, bytes]) -> tuple[bytes, bytes]:
+        return fields.get(TRACE, b""), fields.get(EXPIRES, b"")
+
     def take(
         self, caller, profile, method, target, passed, body, *,
         expires, began, customer, again, trace, upload=None,
--- a/dahliabend/net/routing/upstreams.py
+++ b/dahliabend/net/routing/upstreams.py
@@ -37,10 +37,13 @@
         elif yard.descriptors.full(self.sent):
             self.end_soon(Outcome.MOOT)  # no socket left: the upstream is not to blame
         else:
-            self.dialing = yard.deadlines.loop.create_task(self.connect(yard))
+            # Its place in the table is taken here: taken once the dialling begins, a turn of the loop later,
+            # all that start in one turn would find the same room, and overrun the table.
+            link = Link(yard.descriptors, self.upstream)
+            self.dialing = yard.deadlines.loop.create_task(self.connect(yard, link))
+            self.dialing.add_done_callback(lambda _: link.never_came_up())
 
-    async def connect(self, yard: "Yard") -> None:
-        link = Link(yard.descriptors, self.upstream)
+    async def connect(self, yard: "Yard", link: Link) -> None:
         limit = yard.deadlines.at(min(self.until, self.sent + yard.dial_time), self.dialing.cancel)
         try:
             await dial(yard.deadlines.loop, self.upstream.address, link)
--- a/dahliabend/net/transport/connection.py
+++ b/dahliabend/net/transport/connection.py
@@ -181,6 +181,12 @@
     def release(self) -> None:
         self.descriptors.give_back(self.number)
 
+    def never_came_up(self) -> None:
+        """Given up before the dialling began: nothing else gives its place back."""
+        if self.transport is None and not self.closed:
+            self.closed = True
+            self.release()
+
 
 def tune(sock: socket.socket) -> None:
     sock.setblocking(False)
--- /dev/null
+++ b/dahliabend/routes/choice.py
@@ -0,0 +1,67 @@
+"""A route as it is decided by: its pool by weight or fallback, its limit, its times. Free of I/O."""
+
+from collections.abc import Callable, Mapping
+
+from dahliabend.routes.checks import Effective, targets
+from dahliabend.routes.limits import Limit
+from dahliabend.routes.split import Split
+from dahliabend.settings.types import File, Route
+
+DEEP = 8  # fallbacks of fallbacks that are followed
+
+
+class Choice:
+    """One route's. `pool` says where a transaction goes, asked with how much of each pool is ready."""
+
+    __slots__ = ("backs", "below", "effective", "limit", "mirror", "mirror_share", "name", "profile", "reach",
+                 "split", "split_by", "total")  # fmt: skip
+
+    def __init__(self, file: File, route: Route, number: int) -> None:
+        made = self.effective = Effective(file, route, number)
+        self.name, self.profile = route.name, route.class_.encode()
+        weights = route.pools or {route.pool: 1.0}
+        self.split = Split(list(weights), list(weights.values()), route.name.encode())
+        self.split_by = route.split_by.lower().encode() if route.split_by else b""
+        self.limit = Limit(made.concurrency, made.rate, made.burst)
+        self.total = min(made.total_time, file.classes[route.class_].hard_limit)
+        self.mirror, self.mirror_share = route.mirror, route.mirror_share
+        first = set(targets(route))
+        self.backs = {
+            name: route.fallback if name in first and route.fallback else pool.fallback
+            for name, pool in file.pools.items()
+        }
+        self.below = {name: pool.fallback_below for name, pool in file.pools.items()}
+        self.reach = tuple(dict.fromkeys(each for name in weights for each in self.ways(name)))
+
+    def ways(self, name: str) -> list[str]:
+        """A pool, and those that it falls back to, in order."""
+        found = [name]
+        while len(found) < DEEP and (back := self.backs.get(found[-1])) and back not in found:
+            found.append(back)
+        return found
+
+    def pool(self, key: bytes, part_ready: Callable[[str], float]) -> str:
+        """By weight; from there along the fallbacks while too little is ready. Where that holds for all, the
+        first: turned away there, a transaction is its own pool's trouble and not the last one's."""
+        first = self.split.of(key) if key else self.split.turn()
+        for name in self.ways(first):
+            ready = part_ready(name)
+            if ready > self.below[name]:
+                return name
+        return first
+
+    def goes_on_from(self, before: "Choice") -> None:
+        """After a reload: what is in hand still counts, and turns go on, so that a canary's part holds."""
+        before.limit.become(self.limit)
+        self.limit = before.limit
+        credit = dict(zip(before.split.names, before.split.credit, strict=True))
+        if credit.keys() == set(self.split.names):
+            self.split.credit = [credit[name] for name in self.split.names]
+
+
+def choices(file: File, before: Mapping[str, Choice]) -> list[Choice]:
+    made = [Choice(file, route, number) for number, route in enumerate(file.routes)]
+    for choice in made:
+        if choice.name in before:
+            choice.goes_on_from(before[choice.name])
+    return made
--- a/dahliabend/routes/limits.py
+++ b/dahliabend/routes/limits.py
@@ -37,6 +37,11 @@
         self.held += 1
         return True
 
+    def become(self, other: "Limit") -> None:
+        """Other terms from now on; who is in hand stays so."""
+        self.concurrency, self.rate, self.burst = other.concurrency, other.rate, other.burst
+        self.level = min(self.level, self.burst)
+
     def leave(self) -> None:
         self.held -= 1
 
--- a/tests/emulator/defects.py
+++ b/tests/emulator/defects.py
@@ -211,11 +211,11 @@
 def dial_for_ever():
     real = Errand.connect
 
-    async def connect(self, yard):
+    async def connect(self, yard, link):
         before, yard.dial_time = yard.dial_time, 3600 * S
         self.until += 3600 * S
         try:
-            await real(self, yard)
+            await real(self, yard, link)
         finally:
             yard.dial_time = before
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -20,7 +20,9 @@
 from dahliabend.net.transport.descriptors import Descriptors
 from dahliabend.net.transport.slots import Slots
 
-DESK = SimpleNamespace(closing=lambda: False, profiles={}, ready=lambda: True)
+DESK = SimpleNamespace(
+    closing=lambda: False, methods=(b"GET", b"POST"), sort=lambda *_: None, ready=lambda: True
+)
 
 
 def quiet(*_, **__): ...
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -160,7 +160,7 @@
 
 
 def test_a_request_behind_a_long_answer_is_not_lost_when_callers_are_sent_away():
-    desk = SimpleNamespace(closing=lambda: True, profiles={}, ready=lambda: True)
+    desk = SimpleNamespace(closing=lambda: True, ready=lambda: True)
     for behind, kept in ((1, True), (0, False)):
         caller = Taker(Descriptors(100), yard().deadlines, desk, S)
         Pipe(caller)
