A balancer by an operator's file: pools with decisions of their own, splits, fallbacks, limits

A transaction that its pool turns away unseen is offered to the fallback; copies for a mirror have ids of their own; a file without routes is refused.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -14,6 +14,7 @@
 import statistics
 import sys
 import tempfile
+from collections.abc import Callable
 from pathlib import Path
 
 CONNECTIONS, WARM = 2, 200
@@ -67,8 +68,8 @@
     writer.close()
 
 
-async def play(tree: Path, count: int) -> float:
-    """CPU microseconds a transaction."""
+async def play(tree: Path, count: int, command: Callable[[dict], list[str]] | None = None) -> float:
+    """CPU microseconds a transaction. `command`: from the configuration to the program's arguments."""
     loop = asyncio.get_running_loop()
     upstream = await loop.create_server(Answering, "127.0.0.1", 0)
     port = upstream.sockets[0].getsockname()[1]
@@ -79,18 +80,20 @@
         address = free.sockets[0].getsockname()
         free.close()
         profile = {"name": "query", "service-goal": 1e3, "hard-limit": 3e3, "semantics": "idempotent"}
-        json.dump(
-            {"listen": f"127.0.0.1:{address[1]}",
-             "discovery": f"127.0.0.1:{listing.sockets[0].getsockname()[1]}",
-             "settings": {"balancers": 1, "discovery": "pushed", "profiles": [profile],
-                          "caps": {"most-hops": 3}, "contract": {"cold-share": 0.5, "cold": 1e3,
-                                                                 "fall-multiple": 3.0}}},
-            file,
-        )  # fmt: skip
+        conf = {
+            "listen": f"127.0.0.1:{address[1]}",
+            "discovery": f"127.0.0.1:{listing.sockets[0].getsockname()[1]}",
+            "settings": {
+                "balancers": 1, "discovery": "pushed", "profiles": [profile], "caps": {"most-hops": 3},
+                "contract": {"cold-share": 0.5, "cold": 1e3, "fall-multiple": 3.0},
+            },
+        }  # fmt: skip
+        json.dump(conf, file)
         file.flush()
         python = tree / ".venv/bin/python"
         process = await asyncio.create_subprocess_exec(
-            python if python.exists() else sys.executable, "-B", "-m", "dahliabend", cwd=tree,
+            python if python.exists() else sys.executable, "-B", "-m", "dahliabend",
+            *(command(conf) if command is not None else ()), cwd=tree,
             env={**os.environ, "PROXY_CONFIG": file.name, "UV_USE_IO_URING": "0"}, stderr=-3,
         )  # fmt: skip
         for _ in range(200):
--- a/dahliabend/emulator/checks.py
+++ b/dahliabend/emulator/checks.py
@@ -255,6 +255,12 @@
     def hop_head(self, trace: str, balancer: str, upstream: str, connection: int, first: int) -> None:
         self.counts["hops"] += 1
         request = self.requests.get(trace)
+        if request is None and trace.endswith("-m") and (whole := self.requests.get(trace[:-2])) is not None:
+            if whole.kind.semantics != "idempotent":
+                self.broken(
+                    "no effect twice", f"{whole.trace} ({whole.kind.name}) was mirrored to {upstream}"
+                )
+            return
         if request is None:
             return self.broken("bytes", f"a request came to {upstream} that no caller sent: {trace!r}")
         now = self.kernel.now
--- a/dahliabend/emulator/peers/clients.py
+++ b/dahliabend/emulator/peers/clients.py
@@ -21,6 +21,9 @@
     limit: int = 0
     body: bytes = b""
     target: bytes = b""
+    path: str = ""  # where it is not the name
+    method: str = ""
+    headers: tuple[tuple[str, str], ...] = ()
     again: int = 0  # which try this is
     tries: int = 1
     leaves_after: int = 0  # microseconds; 0: it stays
@@ -31,10 +34,13 @@
     done: Callable | None = None  # told the final status, or 0
 
     def message(self) -> bytes:
-        method = b"GET" if self.name == "query" else b"POST"
-        head = b"%b /%b%b HTTP/1.1\r\nHost: api\r\nX-Trace-Id: %b\r\nX-Expires-In-Ms: %d\r\n" % (
-            method, self.name.encode(), self.target, self.trace.encode(), self.expires // 1000,
+        method = self.method.encode() or (b"GET" if self.name == "query" else b"POST")
+        path = self.path.encode() or b"/" + self.name.encode()
+        head = b"%b %b%b HTTP/1.1\r\nHost: api\r\nX-Trace-Id: %b\r\nX-Expires-In-Ms: %d\r\n" % (
+            method, path, self.target, self.trace.encode(), self.expires // 1000,
         )  # fmt: skip
+        for name, value in self.headers:
+            head += f"{name}: {value}\r\n".encode()
         if self.again:
             head += b"X-Second-Try: 1\r\n"
         if self.body or method == b"POST":
--- a/dahliabend/net/routing/desk.py
+++ b/dahliabend/net/routing/desk.py
@@ -34,6 +34,16 @@
     def cut(self) -> None: ...
 
 
+def renamed(passed: bytes, trace: bytes) -> bytes:
+    """Header lines of a copy, with an id of its own: else an upstream in both pools would know it already.
+
+    >>> renamed(b"Host: a\\r\\nx-trace-id: 7\\r\\n", b"7-m")
+    b'Host: a\\r\\nX-Trace-Id: 7-m\\r\\nX-Mirror: 1\\r\\n'
+    """
+    kept = [line for line in passed.split(b"\r\n") if line and not line.lower().startswith(TRACE + b":")]
+    return b"".join(line + b"\r\n" for line in (*kept, b"X-Trace-Id: " + trace, b"X-Mirror: 1"))
+
+
 @dataclass(slots=True)
 class Pool:
     """One pool as it runs. `stop` ends what keeps its list."""
@@ -49,8 +59,7 @@
     def part_ready(self) -> float:
         """Of its upstreams, how many can be sent to."""
         balancer = self.router.balancer
-        ready = sum(not u.aside for u in balancer.ready)
-        return ready / max(1, len(balancer.upstreams))
+        return sum(not u.aside for u in balancer.ready) / max(1, len(balancer.upstreams))
 
 
 @dataclass(slots=True)
@@ -138,19 +147,23 @@
             return -1
         caller.settle = choice.limit.leave
         key = caller.fields.get(choice.split_by, b"") if choice.split_by else b""
-        name = choice.pool(key, self.part_ready)
-        pool = self.names[name]
-        profile = routes.profiles[name][number]
+        names = choice.ways(key, self.part_ready)
+        if not caller.fields.get(TRACE):
+            passed += b"X-Trace-Id: %b\r\n" % trace
         common = {"expires": expires, "began": began, "customer": customer, "again": again}
         if choice.mirror and upload is None and self.chance.random() < choice.mirror_share:
-            mirror = self.names[choice.mirror]
-            mirror.router.take(
-                Silent(caller.profile), routes.profiles[choice.mirror][number], method, target, passed, body,
-                trace=trace + b"-m", **common,
+            self.names[choice.mirror].router.take(
+                Silent(caller.profile), routes.profiles[choice.mirror][number], method, target,
+                renamed(passed, trace + b"-m"), body, trace=trace + b"-m", **common,
             )  # fmt: skip
-        ticket = pool.router.take(
-            caller, profile, method, target, passed, body, trace=trace, upload=upload, **common
-        )
+        for name in names:
+            pool, turned_away = self.names[name], []
+            ticket = pool.router.take(
+                caller, routes.profiles[name][number], method, target, passed, body, trace=trace,
+                upload=upload, otherwise=turned_away.append if name != names[-1] else None, **common,
+            )  # fmt: skip
+            if not turned_away:
+                break
         return -1 if ticket < 0 else ticket * MOST_POOLS + pool.number % MOST_POOLS
 
     def part_ready(self, name: str) -> float:
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -22,14 +22,15 @@
     """A transaction taken: its caller, its handle and its hops."""
 
     __slots__ = (
-        "answered", "body", "caller", "expires", "handle", "head", "hops", "name", "number", "passed",
-        "profile", "seat", "taken", "trace", "trail", "upload",
+        "answered", "body", "caller", "expires", "handle", "head", "hops", "name", "number", "otherwise",
+        "passed", "profile", "seat", "taken", "trace", "trail", "upload",
     )  # fmt: skip
 
     def __init__(self, caller: Caller, profile: int, head: bytes, passed: bytes, body: bytes, trace: bytes):
         self.caller, self.profile, self.head, self.passed, self.body = caller, profile, head, passed, body
         self.trace, self.taken, self.answered, self.number = trace, clock(), False, -1
         self.name = b""  # of its profile, as on the wire
+        self.otherwise: Callable | None = None
         self.expires, self.upload = 0, None  # how long its caller waits; a body that still comes
         self.handle: Transaction | None = None
         self.seat: Seat | None = None
@@ -239,15 +240,16 @@
 
     def take(
         self, caller, profile, method, target, passed, body, *,
-        expires, began, customer, again, trace, upload=None,
+        expires, began, customer, again, trace, upload=None, otherwise=None,
     ) -> int:  # fmt: skip
+        """`otherwise`, where given, is told in place of its caller of one turned away unseen here and now."""
         if trace in self.traces:
             # Another's open transaction: sent on, it would be a second copy of that one at an upstream.
             caller.refuse(409)
             return -1
         head = b"%b %b HTTP/1.1\r\n" % (method, target)
         ticket = Ticket(caller, profile, head, passed, body, trace)
-        ticket.name = caller.profile
+        ticket.name, ticket.otherwise = caller.profile, otherwise
         ticket.number = number = self.tickets.put(ticket)
         if number < 0:
             # The table is full: the caller is told at once, nothing has run.
@@ -270,6 +272,7 @@
         )  # fmt: skip
         if upload is not None:
             upload.reader = ticket
+        ticket.otherwise = None
         self.drop_if_over(ticket)
         return -1 if ticket.answered else number
 
@@ -367,6 +370,11 @@
             hop.start()
 
     def roll_back(self, ref: int, come_back_in: int) -> None:
+        ticket = self.tickets.get(ref)
+        if ticket is not None and ticket.otherwise is not None and not ticket.hops:
+            ticket.answered = True
+            self.note("passed_on", ticket)
+            return ticket.otherwise(ref)
         advice = b"Retry-After: %.3f\r\n" % (come_back_in / 1e6) if come_back_in else b""
         self.answer(ref, "rolled_back", 503, advice, b"rolled back\n")
 
--- a/dahliabend/routes/checks.py
+++ b/dahliabend/routes/checks.py
@@ -174,6 +174,8 @@
 
 
 def _routes(file: File, source: Source) -> None:
+    if not file.routes:  # an empty file, or one cut short, would turn every caller away
+        source.fault(("routes",), "there are none")
     names: dict[str, int] = {}
     for number, route in enumerate(file.routes):
         key = ("routes", number)
--- a/dahliabend/routes/choice.py
+++ b/dahliabend/routes/choice.py
@@ -1,4 +1,4 @@
-"""A route as it is decided by: its pool by weight or fallback, its limit, its times. Free of I/O."""
+"""A route as it is decided by: its pools by weight and fallback, its limit, its times. Free of I/O."""
 
 from collections.abc import Callable, Mapping
 
@@ -11,7 +11,7 @@
 
 
 class Choice:
-    """One route's. `pool` says where a transaction goes, asked with how much of each pool is ready."""
+    """One route's. `ways` says where a transaction goes, asked with how much of each pool is ready."""
 
     __slots__ = ("backs", "below", "effective", "limit", "mirror", "mirror_share", "name", "profile", "reach",
                  "split", "split_by", "total")  # fmt: skip
@@ -31,24 +31,21 @@
             for name, pool in file.pools.items()
         }
         self.below = {name: pool.fallback_below for name, pool in file.pools.items()}
-        self.reach = tuple(dict.fromkeys(each for name in weights for each in self.ways(name)))
+        self.reach = tuple(dict.fromkeys(each for name in weights for each in self.line(name)))
 
-    def ways(self, name: str) -> list[str]:
+    def line(self, name: str) -> list[str]:
         """A pool, and those that it falls back to, in order."""
         found = [name]
         while len(found) < DEEP and (back := self.backs.get(found[-1])) and back not in found:
             found.append(back)
         return found
 
-    def pool(self, key: bytes, part_ready: Callable[[str], float]) -> str:
-        """By weight; from there along the fallbacks while too little is ready. Where that holds for all, the
-        first: turned away there, a transaction is its own pool's trouble and not the last one's."""
-        first = self.split.of(key) if key else self.split.turn()
-        for name in self.ways(first):
-            ready = part_ready(name)
-            if ready > self.below[name]:
-                return name
-        return first
+    def ways(self, key: bytes, part_ready: Callable[[str], float]) -> list[str]:
+        """The pools that a transaction is offered to, in order: its own by weight, then those it falls back
+        to. Where one turns it away unseen, the next has it. One of which too little is ready is passed by; if
+        all are, the first has it: its trouble is its own, and not the last one's."""
+        line = self.line(self.split.of(key) if key else self.split.turn())
+        return [name for name in line if part_ready(name) > self.below[name]] or line[:1]
 
     def goes_on_from(self, before: "Choice") -> None:
         """After a reload: what is in hand still counts, and turns go on, so that a canary's part holds."""
--- /dev/null
+++ b/tests/routes/play.py
@@ -0,0 +1,66 @@
+"""Plays every sound file of the corpus in the modelled world, for five virtual minutes with a trouble every
+ten seconds; not in CI.
+
+    python tests/routes/play.py --files 500 --jobs 8 --minutes 5
+"""
+
+import argparse
+import sys
+import time
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from random import Random
+
+sys.path.insert(0, str(Path(__file__).parents[1] / "settings"))
+
+from corpus import make  # noqa: E402
+
+from dahliabend.emulator.services import TROUBLES, ServiceWorld  # noqa: E402
+
+S = 1_000_000
+RATE = 8.0  # transactions a second, all routes in turn
+
+
+def play(seed: int, span: int) -> tuple[int, dict, list[str], int]:
+    world, chance = ServiceWorld(make(seed).files, seed), Random(seed)
+
+    def act(world: ServiceWorld) -> None:
+        world.load(world.plan().file, RATE, span)
+        for at in range(0, span, 10 * S):
+            name = chance.choice(sorted(world.upstreams))
+            wait = at + chance.randrange(5 * S)
+            world.later(wait, world.trouble, name, chance.choice(TROUBLES), 3 * S)
+
+    world.play(act, span)
+    return (
+        seed,
+        world.rules.counts,
+        [str(violation) for violation in world.rules.violations],
+        world.kernel.steps,
+    )
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("--files", type=int, default=500)
+    parser.add_argument("--jobs", type=int, default=8)
+    parser.add_argument("--minutes", type=float, default=5.0)
+    given = parser.parse_args()
+    began, counts, steps, broken = time.perf_counter(), Counter(), 0, 0
+    seeds = [seed for seed in range(given.files) if not make(seed).kind]
+    with ProcessPoolExecutor(given.jobs) as pool:
+        spans = [round(given.minutes * 60 * S)] * len(seeds)
+        for seed, seen, violations, taken in pool.map(play, seeds, spans):
+            counts.update(seen)
+            steps += taken
+            if violations:
+                broken += 1
+                print(f"file {seed}: {violations[0]}", flush=True)
+    print(f"{len(seeds)} sound files, {dict(counts)}, {steps} steps, {time.perf_counter() - began:.0f} s")
+    print(f"{broken} broke a rule")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/routes/test_service.py
@@ -0,0 +1,308 @@
+"""A balancer by an operator's file, in the modelled world and once on loopback."""
+
+import asyncio
+import json
+import os
+import sys
+from collections import Counter
+from random import Random
+
+import pytest
+from corpus import make
+from helpers import free_addresses
+
+from dahliabend.emulator.peers.clients import Ask, Clients, Front
+from dahliabend.emulator.peers.operators import call
+from dahliabend.emulator.peers.upstream import Upstream, UpstreamSpec
+from dahliabend.emulator.services import TROUBLES, ServiceWorld
+
+MS, S = 1_000, 1_000_000
+TOP = """
+[listeners.callers]
+address = "127.0.0.1:8080"
+[defaults]
+attempts = 3
+[classes.query]
+effect = "idempotent"
+service-goal = "400ms"
+hard-limit = "1s"
+[classes.submit]
+effect = "non-idempotent"
+service-goal = "400ms"
+hard-limit = "1s"
+revenue = 10
+"""
+
+
+def pool(name, count=3, more="", net=1):
+    rows = ", ".join(
+        f'{{ id = "{name}-{n}", address = "10.{net}.{len(name)}.{n + 1}:80" }}' for n in range(count)
+    )
+    return f"[pools.{name}]\n{more}\nmembers = [{rows}]\n"
+
+
+def route(name, *lines, kind="query"):
+    return "\n".join(("[[routes]]", f'name = "{name}"', f'class = "{kind}"', *lines)) + "\n"
+
+
+def world(*parts, seed=1):
+    return ServiceWorld({"file.toml": TOP + "\n".join(parts)}, seed)
+
+
+def went(made, kind="effect"):
+    """How many ran in each pool."""
+    return Counter(line[3].rpartition("-")[0] for line in made.witness.lines if line[1] == kind)
+
+
+def loaded(made, rate, span, act=lambda world: None):
+    def begin(world):
+        world.load(world.plan().file, rate, span)
+        act(world)
+
+    made.play(begin, span)
+    assert not made.rules.violations, [str(violation) for violation in made.rules.violations]
+    return made
+
+
+def part(made, name):
+    asked, within, _ = made.rules.tally[name]
+    return within / asked
+
+
+def test_a_canary_gets_its_tenth_and_a_failing_one_costs_the_other_nothing():
+    """20,000 transactions; from a quarter on the canary fails nine of ten."""
+
+    def fails(made):
+        for name in made.by_pool["next"]:
+            made.later(50 * S, made.trouble, name, "fail", 150 * S)
+
+    parts = pool("main", 4), pool("next", 2, net=2)
+    made = world(
+        *parts,
+        route("split", "pools = { main = 90, next = 10 }"),
+        route("own", 'path = "/own"', 'pool = "main"'),
+    )
+    loaded(made, 200, 100 * S)
+    assert made.rules.counts["asked"] == 20_000
+    split = Counter(line[4].rpartition("-")[0] for line in made.witness.lines if line[1] == "hop.head")
+    assert abs(split["next"] / 10_000 - 0.10) <= 0.01
+    calm = part(made, "own")
+    made = loaded(world(*parts, route("split", "pools = { main = 90, next = 10 }"),
+                        route("own", 'path = "/own"', 'pool = "main"')), 100, 100 * S, fails)  # fmt: skip
+    assert abs(part(made, "own") - calm) <= 0.01
+    assert made.rules.counts["refused"] > 0  # by the held percentages of its own pool
+
+
+def test_one_customer_sees_one_version():
+    made = world(
+        pool("main"), pool("next", net=2),
+        route("split", "pools = { main = 1, next = 1 }", 'split-by = "X-Customer"'),
+    )  # fmt: skip
+
+    def begin(world):
+        file = world.plan().file
+        for number in range(200):
+            ask = world.ask(file, 0, (("X-Customer", f"c{number % 10}"),))
+            ask.target = b"?c%d" % (number % 10)
+            world.kernel.at(world.kernel.now + number * 20_000, world.client, world.clients.ask, ask)
+
+    made.play(begin, 5 * S)
+    assert not made.rules.violations and len(went(made)) == 2
+    turns = {}
+    for line in made.witness.lines:
+        if line[1] == "effect":
+            customer = (int(line[2][1:]) - 1) % 10
+            turns.setdefault(customer, set()).add(line[3].rpartition("-")[0])
+    assert all(len(pools) == 1 for pools in turns.values()) and len(turns) == 10
+
+
+def test_a_pool_that_is_down_falls_back_and_comes_back():
+    made = world(
+        pool("main", 2, 'fallback = "spare"\nprobes = true'), pool("spare", 2, net=2),
+        route("all", 'pool = "main"'), route("submits", 'path = "/s"', 'pool = "main"', kind="submit"),
+    )  # fmt: skip
+
+    def die(made):
+        for name in made.by_pool["main"]:
+            made.later(5 * S, made.kill, name)
+            made.later(15 * S, made.again, name)
+
+    loaded(made, 30, 50 * S, die)
+    runs = [(line[0], line[3].rpartition("-")[0]) for line in made.witness.lines if line[1] == "effect"]
+    assert {pool for at, pool in runs if at < 6 * S} == {"main"}
+    assert "spare" in {pool for at, pool in runs if 8 * S < at < 16 * S}
+    assert {pool for at, pool in runs if at > 45 * S} == {"main"}
+    assert made.rules.counts["served"] > 0.9 * made.rules.counts["asked"]
+
+
+def test_a_mirror_gets_copies_of_what_may_run_again_and_its_answers_go_nowhere():
+    made = world(
+        pool("main"), pool("dark", net=2),
+        route("all", 'pool = "main"', 'mirror = "dark"', 'mirror-share = "50%"'),
+        route("submits", 'path = "/s"', 'pool = "main"', kind="submit"),
+    )  # fmt: skip
+
+    def hang(made):
+        for name in made.by_pool["dark"]:
+            made.later(5 * S, made.trouble, name, "hang", 10 * S)
+
+    loaded(made, 40, 20 * S, hang)
+    runs = went(made)
+    assert made.rules.counts["served"] == 800 == runs["main"]
+    assert 60 < runs["dark"] < 250  # of 400 queries half, and none while it hung
+
+
+def test_a_limit_turns_away_at_once_and_says_when_to_come_back():
+    made = world(pool("main"), route("all", 'pool = "main"', 'rate = "10/s"', "burst = 5"))
+    loaded(made, 50, 10 * S)
+    assert 95 <= made.rules.counts["served"] <= 115
+    assert made.rules.counts["refused"] == 500 - made.rules.counts["served"]
+    held = world(pool("main"), route("all", 'pool = "main"', "concurrency = 1"))
+
+    def hang(made):
+        for name in made.by_pool["main"]:
+            made.later(1 * S, made.trouble, name, "hang", 3 * S)
+
+    loaded(held, 20, 8 * S, hang)
+    assert held.rules.counts["refused"] > 20 and held.program.desk.routes.choices[0].limit.held == 0
+
+
+def test_times_and_attempts_are_a_routes_own():
+    made = world(
+        pool("main", 3, "probes = true"),
+        route("quick", 'path = "/q"', 'pool = "main"', 'hop-time = "100ms"'),
+        route("once", 'path = "/o"', 'pool = "main"', "attempts = 1"),
+    )  # fmt: skip
+
+    def hang(made):
+        for number in range(3):
+            made.later((1 + 3 * number) * S, made.trouble, f"main-{number}", "hang", S)
+
+    loaded(made, 40, 10 * S, hang)
+    hops = Counter(line[2] for line in made.witness.lines if line[1] == "hop.head")
+    named = {line[2]: line[3] for line in made.witness.lines if line[1] == "asked"}
+    most = {name: max(hops[trace] for trace in hops if named[trace] == name) for name in ("quick", "once")}
+    assert most == {"quick": 2, "once": 1}
+    ends = {line[2]: line[0] for line in made.witness.lines if line[1] == "answer"}
+    begins = {line[2]: line[0] for line in made.witness.lines if line[1] == "hop.head"}
+    slow = [t for t in ends if named[t] == "quick" and ends[t] - begins[t] > 200 * MS]
+    assert not slow and part(made, "quick") > 0.98
+
+
+def test_a_reload_moves_a_canary_and_takes_a_pool_out_with_its_transactions_open():
+    first = pool("main"), pool("old", net=2), route("all", "pools = { main = 1, old = 1 }")
+    then = TOP + pool("main") + pool("new", net=3) + route("all", "pools = { main = 1, new = 3 }")
+    made = world(*first)
+    loaded(made, 100, 20 * S, lambda made: made.later(10 * S, made.reload, {"file.toml": then}))
+    runs = [(line[0], line[3].rpartition("-")[0]) for line in made.witness.lines if line[1] == "effect"]
+    zero = 11 * S
+    before, after = (Counter(p for at, p in runs if (at < zero) is early) for early in (True, False))
+    assert before["main"] > 400 and before["old"] > 400 and not before["new"]
+    assert after["old"] <= 3 and abs(after["new"] / (after["new"] + after["main"]) - 0.75) < 0.02
+    assert made.rules.counts["served"] == 2_000 and set(made.program.desk.names) == {"main", "new"}
+    assert len(made.program.desk.pools) == 2  # the old one is forgotten
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", TOP, TOP + route("all", 'pool = "main"'), "x = [", TOP + pool("main") + route("all", "pool = 3")],
+)
+def test_a_faulty_file_changes_nothing(text):
+    made = world(pool("main"), route("all", 'pool = "main"'))
+    if text == TOP:
+        text += pool("main") + route("all", 'pool = "main"', kind="submits")
+    loaded(made, 50, 10 * S, lambda made: made.later(3 * S, made.reload, {"file.toml": text}))
+    assert made.rules.counts["served"] == 500
+    assert made.program.figures.invalid == 1 and made.program.figures.accepted == 0
+
+
+def test_an_upstream_in_two_pools_is_excluded_once_for_both():
+    twin = pool("one") + pool("one").replace("[pools.one]", "[pools.two]")
+    made = world(twin, route("a", 'path = "/a"', 'pool = "one"'), route("b", 'path = "/b"', 'pool = "two"'))
+    loaded(made, 50, 20 * S, lambda made: made.later(5 * S, lambda: made.program.exclude("one-0", True)))
+    late = {line[4] for line in made.witness.lines if line[1] == "hop.head" and line[0] > 6 * S}
+    assert late == {"one-1", "one-2"}
+
+
+def test_a_members_file_is_watched_and_half_of_one_takes_nothing_out():
+    made = world('[pools.filed]\nfile = "members.json"\n', route("all", 'pool = "filed"'))
+    path = "/etc/dahliabend/members.json"
+    whole = json.loads(made.machines.files[path])
+
+    def write(text):
+        made.machines.files[path] = text
+
+    def act(made):
+        made.later(4 * S, write, b'{"servers": [')
+        made.later(8 * S, write, json.dumps({"servers": whole["servers"][:1]}).encode())
+
+    loaded(made, 50, 15 * S, act)
+    used = [(line[0], line[4]) for line in made.witness.lines if line[1] == "hop.head"]
+    assert len({name for at, name in used if 5 * S < at < 8 * S}) == 3
+    assert len({name for at, name in used if at > 11 * S}) == 1 and made.rules.counts["served"] == 750
+
+
+@pytest.mark.parametrize("seed", [0, 4, 10, 22, 36, 58])
+def test_sound_files_are_served_through_troubles_without_a_broken_rule(seed):
+    """Some of the corpus, for half a minute each; tests/routes/play.py plays all for five."""
+    drawn = Random(seed)
+    made = ServiceWorld(make(seed).files, seed)
+
+    def troubles(made):
+        for second in range(0, 30, 5):
+            name = drawn.choice(sorted(made.upstreams))
+            made.later(second * S, made.trouble, name, drawn.choice(TROUBLES), 3 * S)
+
+    loaded(made, 20, 30 * S, troubles)
+    assert made.rules.counts["served"] > 300
+
+
+async def serve(folder):
+    """A file with two pools on real sockets, asked, reloaded and ended."""
+    loop, seen, chance = asyncio.get_running_loop(), [], Random(5)
+    listen, *rest = free_addresses(5)
+    for number, text in enumerate(rest):
+        host, port = text.split(":")
+        spec = UpstreamSpec(f"s-{number}", host, int(port), "a", number, work=2_000)
+        await Upstream(spec, loop, lambda *event: seen.append(event), chance, 0, lambda: False).open()
+    rows = [f'{{ id = "s-{n}", address = "{address}" }}' for n, address in enumerate(rest)]
+    pools = (
+        f"[pools.main]\nmembers = [{rows[0]}, {rows[1]}]\n[pools.next]\nmembers = [{rows[2]}, {rows[3]}]\n"
+    )
+    path = folder / "file.toml"
+    text = TOP.replace("127.0.0.1:8080", listen) + pools + route("all", 'pool = "main"')
+    path.write_text(text)
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "dahliabend", "serve", str(path), stderr=asyncio.subprocess.PIPE,
+        env={**os.environ},
+    )  # fmt: skip
+    place = listen.split(":")[0], int(listen.split(":")[1])
+    try:
+        while (await call(loop, place, "GET", "/-/ready"))[0] != 200:
+            await asyncio.sleep(0.05)
+        for turn in range(2):
+            clients = Clients(loop, lambda *event: seen.append(event), chance, Front([place]), f"c{turn}-")
+            for _ in range(40):
+                clients.ask(Ask(clients.name(), "query", S, S))
+                await asyncio.sleep(0.004)
+            while clients.out:
+                await asyncio.sleep(0.01)
+            path.write_text(text.replace('pool = "main"', 'pool = "next"'))
+            process.send_signal(1)
+            while b"reloaded" not in await process.stderr.readline():
+                pass
+    finally:
+        process.terminate()
+        await process.wait()
+    return seen
+
+
+def test_a_file_is_served_and_reloaded_on_loopback(tmp_path):
+    seen = asyncio.run(asyncio.wait_for(serve(tmp_path), 20))
+    answers = Counter(event[2] for event in seen if event[0] == "answer")
+    pools = {event[1][:2]: set() for event in seen if event[0] == "effect"}
+    for event in seen:
+        if event[0] == "effect":
+            pools[event[1][:2]].add(event[2])
+    assert answers == {200: 80}
+    assert pools["c0"] <= {"s-0", "s-1"} and pools["c1"] <= {"s-2", "s-3"}
