--- a/dahliabend/emulator/checks.py
+++ b/dahliabend/emulator/checks.py
@@ -131,7 +131,10 @@
 
     def server(self, request: Request) -> str:
         """The process that its connection leads to, or would once it is taken in."""
-        end = self.connections[request.connection].peer
+        near = self.connections.get(request.connection)
+        if near is None:
+            return ""
+        end = near.peer
         return end.sock.process.name if end.sock is not None else self.serving.get(end.local, "")
 
     def written(self, trace: str) -> None:
@@ -216,8 +219,9 @@
 
     def given(self, hop: Hop) -> bool:
         """Was all of its answer sent, with nothing that broke the connection since?"""
-        end = self.connections[hop.connection]
-        return hop.gave and not (hop.connection in self.torn_ones or end.reset_seen or end.peer.reset_seen)
+        end = self.connections.get(hop.connection)
+        lost = end is None or end.reset_seen or end.peer.reset_seen or hop.connection in self.torn_ones
+        return hop.gave and not lost
 
     def spoilt(self, trace: str, why: str) -> None:
         self.broken("whole answer", f"{trace}: unreadable: {why}")
@@ -285,8 +289,10 @@
         request.hops.append(Hop(upstream, balancer, connection, now, cell, zone))
 
     def ended_hop(self, hop: Hop) -> bool:
-        end = self.connections[hop.connection]
-        return bool(end.closed_at or end.reset_seen or end.fin_seen or hop.balancer in self.gone)
+        end = self.connections.get(hop.connection)  # forgotten: both ends have long been closed
+        return end is None or bool(
+            end.closed_at or end.reset_seen or end.fin_seen or hop.balancer in self.gone
+        )
 
     def again(self, request: Request, hop: Hop, upstream: str, cell: int, zone: str, first: int) -> None:
         """Sent once more, although that hop may have run."""
