Structured logs on structlog for a balancer by an operator's file; every event in one table

Levels, sampling by event, bound pool, secrets hidden, an access line where the file asks for it; docs/events.md is made of the table, and a test finds every logged event in it with its fields. The platform's log is as before.

--- a/dahliabend/cli/commands.py
+++ b/dahliabend/cli/commands.py
@@ -68,6 +68,21 @@
     click.echo(f'{{"version": "{number}"}}' if as_json else f"dahliabend {number}")
 
 
+@group.command()
+@click.option("--json", "as_json", is_flag=True)
+def events(as_json: bool) -> None:
+    """Every event that a balancer logs, as docs/events.md has them."""
+    import json
+
+    from dahliabend.net.program.events import EVENTS, page
+
+    if as_json:
+        rows = {name: {"level": e.level, "when": e.when, "fields": e.fields} for name, e in EVENTS.items()}
+        click.echo(json.dumps(rows, indent=2))
+    else:
+        click.echo(page(), nl=False)
+
+
 @group.command()
 @click.argument("file", required=False)
 def serve(file: str | None) -> None:
@@ -80,12 +95,12 @@
 
     import uvloop
 
-    from dahliabend.net.program.log import Log
     from dahliabend.net.program.serve import HELD_BACK
     from dahliabend.net.program.service import Refused, serve_file
+    from dahliabend.net.program.structured import Structured
 
     signal.pthread_sigmask(signal.SIG_BLOCK, HELD_BACK)
-    log = Log("dahliabend")
+    log = Structured("dahliabend")
     try:
         uvloop.run(serve_file(file, log))
     except Refused as error:
--- a/dahliabend/net/program/log.py
+++ b/dahliabend/net/program/log.py
@@ -26,12 +26,16 @@
 
     def __call__(self, event: str, **fields) -> None:
         line = {"at": datetime.now(UTC), "balancer": self.name, "event": event, **fields}
+        self.put(orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE))
+
+    def put(self, line: bytes) -> None:
         if len(self.lines) > MOST_WAITING:
             self.lost += 1
             return
         if self.lost:
-            line["lines_lost"], self.lost = self.lost, 0
-        self.lines += orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE)
+            line = line[:-2] + b',"lines_lost":%d}\n' % self.lost
+            self.lost = 0
+        self.lines += line
         if self.loop is None:
             self.write()
         elif not self.due:
--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -78,10 +78,13 @@
             self.listener.open(self.listen)
         else:
             self.listener.inherit(self.inherited)
-        self.log("listening", address=":".join(map(str, self.listen)))
+        self.log("listening", address=":".join(map(str, self.listen)), **self.nature())
         self.beat()
         self.sweep()
 
+    def nature(self) -> dict:
+        return {"entrance": self.router.balancer.entrance}
+
     async def end(self) -> None:
         await self.done
         self.discovery.stop()
--- a/dahliabend/net/program/service.py
+++ b/dahliabend/net/program/service.py
@@ -3,7 +3,7 @@
 import asyncio
 import gc
 import os
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 import orjson
 
@@ -13,7 +13,9 @@
 from dahliabend.net.program.log import Log
 from dahliabend.net.program.operations import Operations
 from dahliabend.net.program.serve import BEAT, Program
+from dahliabend.net.program.structured import Structured
 from dahliabend.net.protocol.discovery import Book, Discovery
+from dahliabend.net.protocol.headers import MOST
 from dahliabend.net.routing.desk import Desk, Pool
 from dahliabend.net.routing.router import Router
 from dahliabend.net.routing.upstreams import Yard
@@ -111,6 +113,16 @@
     return node, {number: n for n, number in enumerate(numbers)}
 
 
+def unmet(file: File) -> Iterator[str]:
+    """What the file says and this program does not do."""
+    for number, route in enumerate(file.routes):
+        if Effective(file, route, number).second_copy_after is not None:
+            yield f"routes[{number}].second-copy-after"
+    for name, kind in file.classes.items():
+        if kind.longest_body != MOST:
+            yield f"classes.{name}.longest-body"
+
+
 class Members:
     """A pool's list where no discovery keeps it: in the operator's file, or in one of its own, watched."""
 
@@ -204,16 +216,23 @@
             else:
                 running.router.yard.dial_time, running.router.yard.rest = node.dial_time, node.rest
                 running.router.switch(node)
+            running.router.access = file.log.access
             self.list_of(running, pool)
         self.desk.use(file, profiles)
         for name in [name for name in self.desk.names if name not in file.pools]:
             self.desk.retire(name)
-        self.log.verbose = file.log.level == "debug"
+        if isinstance(self.log, Structured):
+            self.log.go_by(file.log)
+        self.tell_unmet(tuple(unmet(file)))
         self.plan = made
 
+    def nature(self) -> dict:
+        return {"pools": list(self.desk.names)}
+
     def open_pool(self, name: str, node: Node) -> Pool:
-        yard = Yard(self.deadlines, self.descriptors, node.dial_time, node.rest, self.log.debug)
-        router = Router(node, self.deadlines, yard, self.figures, self.log)
+        log = self.log.bind(pool=name) if isinstance(self.log, Structured) else self.log
+        yard = Yard(self.deadlines, self.descriptors, node.dial_time, node.rest, log.debug)
+        router = Router(node, self.deadlines, yard, self.figures, log)
         yard.sweep()
         return self.desk.add(name, router)
 
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -171,6 +171,7 @@
         self.traces: set[bytes] = set()  # the ids of those
         self.stop_at = 0  # when all that is still held is given up; 0: not stopping
         self.counts: dict[str, int] = {}
+        self.access = False  # is every transaction logged?
         self.seats: list[Seat] = []  # the last takes new transactions; the others end theirs
         self.seat(node)
 
@@ -422,6 +423,9 @@
 
     def note(self, how: str, ticket: Ticket) -> None:
         self.counts[how] = self.counts.get(how, 0) + 1
+        if self.access and how != "passed_on":
+            self.log("access", tx=ticket.trace.decode("latin-1"), how=how, profile=ticket.profile,
+                     hops=ticket.trail, ms=(clock() - ticket.taken) // 1000)  # fmt: skip
         if how != "committed":
             self.log(
                 how, tx=ticket.trace.decode("latin-1"), profile=ticket.profile, hops=ticket.trail,
