--- a/dahliabend/cli/commands.py
+++ b/dahliabend/cli/commands.py
@@ -68,6 +68,16 @@
     click.echo(f'{{"version": "{number}"}}' if as_json else f"dahliabend {number}")
 
 
+@group.command()
+@click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
+def completion(shell: str) -> None:
+    """What SHELL has to read for completion: `source <(dahliabend completion bash)`."""
+    from click.shell_completion import get_completion_class
+
+    made = get_completion_class(shell)(group, {}, "dahliabend", "_DAHLIABEND_COMPLETE")
+    click.echo(made.source())
+
+
 @group.command()
 @click.option("--json", "as_json", is_flag=True)
 def events(as_json: bool) -> None:
--- a/dahliabend/cli/emulate.py
+++ b/dahliabend/cli/emulate.py
@@ -1,5 +1,7 @@
 """`dahliabend emulate`: sweeps, replays and shrinking in the modelled world."""
 
+import dataclasses
+import json
 import os
 from pathlib import Path
 
@@ -47,7 +49,8 @@
 @click.option("--seeds", callback=seeds, default="1000", show_default=True, help="How many, or A..B.")
 @click.option("--jobs", type=click.IntRange(1), default=os.cpu_count(), show_default=True)
 @click.option("--fault", multiple=True, help="Only these kinds of fault; may be given more than once.")
-def sweep_command(seeds: range, jobs: int, fault: tuple[str, ...]) -> None:
+@click.option("--json", "as_json", is_flag=True, help="As JSON, for programs.")
+def sweep_command(seeds: range, jobs: int, fault: tuple[str, ...], as_json: bool) -> None:
     """Plays many seeds; exits with 1 if a rule was broken."""
     console = Console()
     bar = Progress(
@@ -57,7 +60,10 @@
     with bar:
         task = bar.add_task("seeds", total=len(seeds))
         summary = sweep.sweep(seeds, jobs, kinds_of(fault), lambda _: bar.advance(task))
-    show(console, summary)
+    if as_json:
+        click.echo(json.dumps(dataclasses.asdict(summary), indent=2))
+    else:
+        show(console, summary)
     raise click.exceptions.Exit(1 if summary.broken else 0)
 
 
@@ -84,9 +90,14 @@
 @click.argument("what")
 @click.option("--about", default="", help="Only what names this transaction, process or upstream.")
 @click.option("--quiet", is_flag=True, help="Only the digest and what was broken.")
-def replay(what: str, about: str, quiet: bool) -> None:
+@click.option("--json", "as_json", is_flag=True, help="As JSON, for programs; without the time line.")
+def replay(what: str, about: str, quiet: bool, as_json: bool) -> None:
     """Plays WHAT, a seed or a file, and prints its time line; exits with 1 if a rule was broken."""
     result = play(scenario(what))
+    if as_json:
+        made = {**dataclasses.asdict(result), "lines": len(result.lines)}
+        click.echo(json.dumps(made, indent=2))
+        raise click.exceptions.Exit(1 if result.violations else 0)
     if not quiet:
         for line in timeline.lines(result.lines, about):
             click.echo(line)
--- a/tests/emulator/test_commands.py
+++ b/tests/emulator/test_commands.py
@@ -1,5 +1,6 @@
 """The command line, as its users call it."""
 
+import json
 import os
 import subprocess
 import sys
@@ -39,14 +40,23 @@
     assert status == 0 and "hang" in out and "0 runs broke a rule" in out and "4 runs" in out
 
 
+def test_what_a_program_reads_and_what_a_shell_completes(tmp_path):
+    status, out, _ = run("emulate", "replay", "3", "--json")
+    assert status == 0 and json.loads(out)["violations"] == [] and json.loads(out)["counts"]["asked"] >= 100
+    status, out, _ = run("emulate", "sweep", "--seeds", "2", "--jobs", "1", "--json")
+    assert status == 0 and json.loads(out)["runs"] == 2
+    assert "_DAHLIABEND_COMPLETE" in run("completion", "bash")[1] and run("completion", "csh")[0] == 2
+    assert run("events")[1].startswith("# Events")
+
+
 def test_serving_imports_nothing_of_the_command_line():
     """It ends at its first fault, and by then has imported all that it will."""
     code = (
         "import sys; sys.argv = ['dahliabend']\n"
         "from dahliabend.__main__ import main\n"
         "main()\n"
-        "print(sorted(m for m in sys.modules if m.split('.')[0] in ('click', 'rich', 'typer')"
-        " or m.startswith(('dahliabend.cli', 'dahliabend.emulator'))))"
+        "print(sorted(m for m in sys.modules if m.split('.')[0] in ('click', 'rich', 'structlog', 'tree_sitter')"
+        " or m.startswith(('dahliabend.cli', 'dahliabend.emulator', 'dahliabend.settings', 'dahliabend.routes'))))"
     )
     done = subprocess.run(
         [sys.executable, "-c", code], capture_output=True, text=True,
