A watch given up before its first step is opened again; the start's pause comes before dialling

The start's walk of the collector took longer than the dialling may (75 ms, two cores for all), the deadline rang before the dialling task's first step, and cancelled it: its body never ran, so nothing told that it had ended, and no watch was opened for the rest of that process.

Change: a dialling task that was cancelled unbegun gives its place back and counts as ended; the collector's walk comes before anything is dialled.

--- a/dahliabend/emulator/kernel.py
+++ b/dahliabend/emulator/kernel.py
@@ -22,10 +22,11 @@
 class Entry:
     """Something to be run; the handle that a loop's callers cancel."""
 
-    __slots__ = ("arguments", "call", "context", "due", "owner")
+    __slots__ = ("arguments", "call", "context", "due", "owner", "timer")
 
     def __init__(self, owner, due: int, call: Callable, arguments: tuple, context) -> None:
         self.owner, self.due, self.call, self.arguments, self.context = owner, due, call, arguments, context
+        self.timer = False
 
     def cancel(self) -> None:
         self.call = self.arguments = None
@@ -60,6 +61,7 @@
 
     def at(self, due: int, owner, call: Callable, *arguments, context=None) -> Entry:
         entry = Entry(owner, due, call, arguments, context)
+        entry.timer = owner is not None
         self.order += 1
         heappush(self.heap, (due if due > self.now else self.now, self.order, entry))
         return entry
@@ -153,6 +155,7 @@
     def go_on(self) -> None:
         if self.alive and self.stalled_until <= self.kernel.now:
             parked, self.parked = self.parked, []
+            parked.sort(key=lambda entry: not entry.timer)  # a loop looks at its timers first
             self.kernel.ready.extend(entry for entry in parked if entry.call is not None)
 
     def signal(self, number: int) -> None:
--- a/dahliabend/emulator/script.py
+++ b/dahliabend/emulator/script.py
@@ -40,6 +40,7 @@
     "answer": "a caller has had its answer",
     "told": "a balancer is told that an upstream drains or goes",
     "yes": "an operator's call was answered",
+    "listening": "a process has just begun to take callers",
     "ended": "a process has ended",
     "fault": "another fault begins",
 }
@@ -283,6 +284,9 @@
         made.name = chance.choice(("query", "submit", ""))
         made.after = Span(chance.choice((0, 0, 1, 300)))
     more = []
+    if what == "kill" and (not kinds or "stall" in kinds) and chance.random() < 0.4:  # and starts slowly
+        span = Span(chance.randrange(60, 500) * MS)
+        more.append(Fault("stall", whom=made.whom, on="listening", span=span))
     if what in ("drain", "restart") and chance.random() < 0.6:
         # Another one exactly as the grace of the drain's news ends.
         others = [k for k in ("stall", "hang", "crash", "reset", "end-watch") if not kinds or k in kinds]
--- a/dahliabend/emulator/timeline.py
+++ b/dahliabend/emulator/timeline.py
@@ -23,6 +23,7 @@
     "said": "{0}: the operators' {1} is answered {2}",
     "yes": "{0}: yes to {1} {2}",
     "starts": "{0} starts",
+    "listening": "{0} takes callers",
     "ended": "{0} has ended: {1}",
     "stalled": "{0} stands still for {1} us",
     "fault": "FAULT {0} ({1})",
--- a/dahliabend/emulator/world.py
+++ b/dahliabend/emulator/world.py
@@ -58,6 +58,8 @@
         self.world, self.process, self.verbose = world, process, False
 
     def __call__(self, event: str, **fields) -> None:
+        if event == "listening":
+            self.world.witness("listening", self.process)
         if event == "error":
             self.world.witness("crashed", self.process, f"{fields.get('what')}: {fields.get('why')}")
         elif event not in ("hop", "rolled_back", "abandoned", "left", "committed", "figures"):
--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -268,8 +268,9 @@
         lambda _, context: log("error", what=context.get("message"), why=repr(context.get("exception")))
     )
     program = Program(node, os.environ, log)
-    await program.start()
-    # What the start made stays: no pause is spent on walking it again.
+    # What the start made stays: no pause is spent on walking it again. Before anything is dialled: a pause
+    # longer than the dialling may take would have it given up.
     gc.collect()
     gc.freeze()
+    await program.start()
     await program.end()
--- a/dahliabend/net/program/service.py
+++ b/dahliabend/net/program/service.py
@@ -314,7 +314,7 @@
         lambda _, context: log("error", what=context.get("message"), why=repr(context.get("exception")))
     )
     service = Service(path, os.environ, log)
-    await service.start()
     gc.collect()
     gc.freeze()
+    await service.start()
     await service.end()
--- a/dahliabend/net/protocol/discovery.py
+++ b/dahliabend/net/protocol/discovery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 import httptools
@@ -132,6 +133,7 @@
             self.watch = Watch(self.descriptors, self.book, self.heard, self.ended)
             self.expect(self.dial_time)
             self.dialing = self.deadlines.loop.create_task(self.connect(self.watch))
+            self.dialing.add_done_callback(partial(self.dialled, self.watch))
             if not self.tried:
                 self.deadlines.at(clock() + SOON, self.waited)
 
@@ -164,6 +166,13 @@
             return self.ended(watch)
         self.begin(watch)
 
+    def dialled(self, watch: Watch, task: asyncio.Task) -> None:
+        if task.cancelled():
+            # Given up before its first step, as where a start took longer than the dialling may: `connect`
+            # never ran, nothing told that it ended, no watch was opened any more, and drains went unheard.
+            watch.never_came_up()
+            self.ended(watch)
+
     def begin(self, watch: Watch) -> None:
         # Asked while the list service was down it stays silent: waited for as long as for a beat, it would
         # hide a drain told to others meanwhile.
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -335,6 +335,7 @@
 
     def create_task(self, task):
         task.close()
+        return SimpleNamespace(add_done_callback=quiet, done=lambda: True, cancel=quiet)
 
     def call_later(self, *_): ...
 
@@ -447,3 +448,20 @@
     caller = Caller(Descriptors(100), yard().deadlines, DESK, S)
     caller.let_go(clock() - S // 2)
     assert not caller.closed
+
+
+def test_a_dialling_given_up_before_its_first_step_is_tried_again():
+    """Its task is cancelled before it has run at all: a start that took longer than the dialling may."""
+
+    async def play():
+        loop = asyncio.get_running_loop()
+        budget, book = Descriptors(26), Book(SimpleNamespace(list_failed=quiet), quiet)
+        asking = Discovery(("127.0.0.1", 9), book, Deadlines(loop), budget, S, lambda: 0.5, quiet)
+        asking.open()
+        asking.silent()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert asking.watch is None and asking.again[2] is not None and not len(budget.connections)
+        asking.stop()
+
+    asyncio.run(play())
