--- a/tests/routes/test_choice.py
+++ b/tests/routes/test_choice.py
@@ -4,7 +4,9 @@
 from itertools import pairwise
 
 import pytest
+from helpers import MS, balancer
 
+from dahliabend.model import Outcome, State
 from dahliabend.routes import plan as plans
 from dahliabend.routes.choice import Choice, choices
 from dahliabend.routes.limits import Limit
@@ -167,3 +169,42 @@
         assert table.find("GET", "/s5/t5/more", {"x": "2"}) == 5
         costs.append(Counting.asked)
     assert costs[0] == costs[1]
+
+
+def test_a_cold_upstream_in_two_pools_gets_no_more_than_one_budget_allows():
+    """Each pool has decisions of its own and knows nothing of the other. What both send in any second stays
+    under the multiple of what it bears, which grows from a fifth to what a warm one gets of both."""
+    now, pools, hops, multiple, cold = 100 * S, [], [], 3.0, 10 * S
+    for count, every in ((4, 10 * MS), (2, 20 * MS)):  # 100 and 50 a second
+        made, port = balancer(
+            upstreams=count, balancers=1, cold_multiple=multiple, cold_time=cold, cold_share=0.2
+        )
+        pools.append((made, port, every))
+    bears = 100 / 4 + 50 / 2
+
+    def run(until, started):
+        nonlocal now
+        while now < until:
+            now += 10 * MS
+            for made, port, every in pools:
+                if now % S % (200 * MS) == 0:
+                    made.woken(now, 0)
+                if now % every == 0:
+                    tx = made.take(now, 1, 0, 0, now + 5 * S)
+                    sent = port.of("send")
+                    if sent and sent[-1][2] == 0 and started:
+                        hops.append(now)
+                    port.clear()
+                    if tx.hops:
+                        tx.returned(now + 5 * MS, 0, Outcome.COMMITTED, 5 * MS, True)
+
+    run(now + 20 * S, started=0)
+    start = now
+    for made, _, _ in pools:
+        made.listed(now, [(0, State.READY, start, 1.0, 0, 0, b"0")], full=False)
+    run(start + cold, started=start)
+    worst = max(
+        sum(at <= other < at + S for other in hops) / (bears * (0.2 + 0.8 * (at - start) / cold))
+        for at in hops
+    )
+    assert len(hops) > 20 and worst < multiple, worst
