--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -1,8 +1,7 @@
 """Every decision of one balancer, by loss throttling with held reduction percentages (docs/design.md).
 
-Build a `Balancer(settings, port, seed)`; it acts through the port. Feed it `listed`, `list_failed`, `probed`
-and `woken`; `take` a transaction to get its handle, and tell the handle `returned`, `begun`, `left`.
-Its interface (settings, outcomes, `Port`) stands in `dahliabend/model.py`. Times are whole microseconds.
+Feed a `Balancer(settings, port, seed)` `listed`, `list_failed`, `probed` and `woken`; `take` gives a handle,
+to be told `returned`, `begun`, `slow`, `left`. Types: `dahliabend/model.py`. Times are whole microseconds.
 """
 
 from hashlib import blake2b
@@ -108,7 +107,7 @@
     """The handle of a transaction taken."""
 
     def __init__(self, home, ref: int, profile: int, deadline: int, coming: bool) -> None:
-        self.coming, self.spent, self.flowing = coming, False, False
+        self.coming, self.spent, self.flowing, self.twins = coming, False, False, 0  # twins: beside another
         self.home, self.ref, self.profile, self.end = home, ref, profile, deadline
         self.kind, self.value = home.profiles[profile], home.values[profile]
         self.hops, self.out, self.done, self.most = [], 0, False, self.kind.most_hops or home.most_hops
@@ -141,6 +140,8 @@
         self.home.learn(now, self, hop.upstream, outcome, took)
         if not self.done and not self.out:
             self.home.resend(self, now, outcome)
+        elif self.done and self.out:
+            self.home.call_off(self)
 
     def begun(self, now: int, number: int) -> None:
         """A streamed answer has started: the client has it, so its hop is not called off any more."""
@@ -157,6 +158,14 @@
         self.home.let_in(self, hop)
         return self.home.hop_time(self, now)
 
+    def slow(self, now: int) -> None:
+        """The hop out is slow: a second beside it, where hops and retries are left for one."""
+        home, may = self.home, self.out == 1 and len(self.hops) < self.most and now < self.end
+        u = home.choose(self, now) if may and home.credit >= 1 and not (self.done or self.flowing) else None
+        if u and all(hop.upstream is not u for hop in self.hops):
+            home.credit, self.twins = home.credit - 1, 1
+            home.dispatch(self, u, now)
+
     def left(self, now: int) -> None:
         self.done = True
         self.home.call_off(self)
@@ -169,8 +178,7 @@
         self.may_cancel, self.may_probe = s.may_cancel, s.may_probe
         self.entrance = s.tier == 0  # calls of the tiers behind are work already paid for
         self.fee, self.excess, self.retries = s.cross_zone_fee, s.excess_share, s.retry_share
-        self.advice = s.longest_advice if s.advises else 0
-        self.ask_again = s.ask_within // 8 if s.ask_for_list else 0
+        self.advice, self.ask_again = s.longest_advice * s.advises, s.ask_within // 8 * s.ask_for_list
         self.cold_from, self.cold_time, self.cold_excess = s.cold_share, s.cold_time, s.cold_multiple / 2
         self.beat = max(1000, round(min(p.service_goal for p in s.profiles) * BEAT))
         self.window = self.beat * WINDOW
@@ -307,15 +315,13 @@
                 # Where all hold shares no one upstream is in trouble, and the tier's decides: refusing each
                 # its own would spare nobody, and where all fail at times, whatever the load, serve nobody.
                 u, entry = (clean, entry) if clean else (u, self.tier)
-            if entry is self.tier and self.entrance:  # behind it a refusal wastes the work done above
-                share = entry.share(now)
-                if share and self.chance() < share * (1 + self.mean_value - tx.value):
-                    u = None
+            # Behind the entrance a refusal wastes the work done above.
+            if entry is self.tier and self.entrance and (share := entry.share(now)):
+                u = None if self.chance() < share * (1 + self.mean_value - tx.value) else u
         if not u:
             return self.give_up(tx)
         self.credit = self.credit if tx.hops else min(SAVED, self.credit + self.retries)
         self.dispatch(tx, u, now)
-        self.port.send(tx.ref, u.index, self.hop_time(tx, now))
 
     def hop_time(self, tx: Transaction, now: int) -> int:
         hop_time = min(tx.end - now, tx.kind.hop_time or tx.end - now)
@@ -331,8 +337,7 @@
             return None
         self.trial = None
         # All balancers may try a cold one in the same second: its budget holds for tries too.
-        may = u.aside and u.state is State.READY and not u.held and self.warmth(u, now)
-        return u if may else None
+        return u if u.aside and u.state is State.READY and not u.held and self.warmth(u, now) else None
 
     def may_follow(self, tx: Transaction) -> bool:
         return tx.kind.effect is not Effect.NON_IDEMPOTENT and len(tx.hops) < tx.most and not tx.spent
@@ -354,12 +359,9 @@
         if self.abroad and self.chance() < self.home.share(now):
             first, second = second, first
         for pool, careful in (first, True), (second, True), (self.ready, True), (self.ready, False):
-            weights = loads = total = 0.0
-            for u in pool:
-                if not u.aside:
-                    weights += u.weight
-                    loads += len(u.held)
-            mean, best = SKIP * loads / weights if weights else 0.0, None
+            well, total, best = [u for u in pool if not u.aside], 0.0, None
+            weights, loads = sum(u.weight for u in well), sum(len(u.held) for u in well)
+            mean = SKIP * loads / weights if weights else 0.0
             for u in pool:
                 if careful and (u.aside or u in used) or risk and not self.same_group(tx, u, risk):
                     continue
@@ -407,6 +409,7 @@
         self.sent += 1
         tx.out += 1
         tx.hops.append(hop)
+        self.port.send(tx.ref, u.index, self.hop_time(tx, now))
 
     def let_in(self, tx: Transaction, hop: Hop) -> None:
         """From now on it counts as in flight."""
@@ -437,7 +440,8 @@
 
     def call_off(self, tx: Transaction) -> None:
         if self.may_cancel and tx.out and not tx.flowing:
-            self.port.cancel(tx.ref, len(tx.hops) - 1)
+            for number in range(len(tx.hops) - 1 - tx.twins, len(tx.hops)):
+                self.port.cancel(tx.ref, number)
 
     def learn_rested(self, idle: int, lost: int) -> None:
         """Idle connections may die unseen and swallow the next hop: past half that gap they are closed."""
@@ -563,9 +567,8 @@
         self.tier.close(now, self.floor(now - self.tier.opened), self.validity)
         self.home.close(now, FLOOR, self.validity, adds=True)
         self.rested.close(now, TIER_FLOOR, LINGER * self.validity)
-        some_warm = False
+        some_warm = any(now - u.born >= self.cold_time for u in self.ready)
         for u in self.ready:
-            some_warm |= now - u.born >= self.cold_time
             for entry in u.entries:
                 entry.close(now, FLOOR, self.validity)
             own = u.entries[-1].metric
@@ -577,9 +580,7 @@
         self.sent = self.first_tries = 0
         # All are used if each is come to within a validity; if not, a set of which each reaches the floor.
         hops = self.send_rate * self.span
-        self.validity = round(
-            VALIDITY * max(self.window, TIER_FLOOR / self.send_rate if self.send_rate else 0)
-        )
+        self.validity = round(VALIDITY * max(self.window, TIER_FLOOR / (self.send_rate or TIER_FLOOR)))
         reach = self.most if hops >= self.most else max(SET, round(hops / FLOOR))
         if abs(reach - self.reach) > self.reach / 4:
             self.reach = reach
--- a/dahliabend/emulator/checks.py
+++ b/dahliabend/emulator/checks.py
@@ -27,6 +27,7 @@
     limit: int = 0
     goal: int = 0
     worth: float = 1.0
+    copies: bool = False  # may a second hop go out beside a slow one?
 
 
 @dataclass(slots=True)
@@ -282,7 +283,7 @@
             self.broken("exclusion", f"{trace}: sent to {upstream}, which an operator took out")
         cell, zone = self.places[upstream]
         for hop in request.hops:
-            if not hop.done and not self.ended_hop(hop):
+            if not (hop.done or self.ended_hop(hop) or request.kind.copies and len(request.hops) < 2):
                 self.broken("two at once", f"{trace}: sent to {upstream} while out at {hop.upstream}")
             if hop.whole and not hop.unrun:
                 self.again(request, hop, upstream, cell, zone, first)
--- a/dahliabend/emulator/services.py
+++ b/dahliabend/emulator/services.py
@@ -104,10 +104,11 @@
         """A class of the checks for each route, with the limit that holds there."""
         for number, route in enumerate(file.routes):
             kind = file.classes[route.class_]
-            limit = min(kind.hard_limit, Effective(file, route, number).total_time)
+            made = Effective(file, route, number)
+            limit = min(kind.hard_limit, made.total_time)
             self.rules.classes[route.name] = Class(
                 route.name, SEMANTICS[kind.effect], kind.group, kind.repeat_window, limit,
-                kind.service_goal, kind.revenue,
+                kind.service_goal, kind.revenue, made.second_copy_after is not None,
             )  # fmt: skip
             self.rules.tally.setdefault(route.name, [0, 0, 0])
 
--- a/dahliabend/model.py
+++ b/dahliabend/model.py
@@ -65,6 +65,7 @@
     hop_time: int = 0  # that one hop may take; 0: what is left
     most_hops: int = 0  # 0: as the settings say
     replays: int = -1  # hops after ones that may have run; -1: as many as the effect allows
+    second_after: int = 0  # from a hop's sending until its handle is told that it is slow; 0: never
 
 
 @dataclass(frozen=True, slots=True)
--- a/dahliabend/net/program/service.py
+++ b/dahliabend/net/program/service.py
@@ -73,7 +73,7 @@
         effect=_EFFECTS[kind.effect], group=_GROUPS[kind.group], repeat_window=kind.repeat_window,
         service_goal=min(kind.service_goal, limit), hard_limit=limit, revenue=kind.revenue,
         late_share=float(kind.late_share), hop_time=made.hop_time or 0, most_hops=made.attempts,
-        replays=made.replays,
+        replays=made.replays, second_after=made.second_copy_after or 0,
     )  # fmt: skip
 
 
@@ -115,9 +115,6 @@
 
 def unmet(file: File) -> Iterator[str]:
     """What the file says and this program does not do."""
-    for number, route in enumerate(file.routes):
-        if Effective(file, route, number).second_copy_after is not None:
-            yield f"routes[{number}].second-copy-after"
     for name, kind in file.classes.items():
         if kind.longest_body != MOST:
             yield f"classes.{name}.longest-body"
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -57,6 +57,10 @@
         self.router, self.ticket, self.order = router, ticket, len(ticket.hops)
         self.flowing, self.moved, self.first = False, 0, 0  # `first`: when a long answer's first byte came
         self.hurry: list | None = None
+        self.late: list | None = None  # when a second hop beside this one is asked for
+
+    def slow(self) -> None:
+        self.ticket.handle.slow(clock())
 
     def start(self) -> None:
         super().start()
@@ -67,6 +71,9 @@
     def written(self) -> None:
         ticket, self.moved = self.ticket, clock()
         self.router.figures.relayed(ticket.name)
+        after = ticket.seat.balancer.profiles[ticket.profile].second_after
+        if after and not self.order and ticket.upload is None:
+            self.late = self.upstream.yard.deadlines.at(self.sent + after, self.slow)
         if ticket.upload is not None and ticket.handle.coming:
             # Until now nothing could run there: what the caller took to send counts against nobody.
             wait = ticket.handle.arrived(self.moved, ticket.upload.ended_at + ticket.expires)
@@ -101,6 +108,8 @@
 
     def began(self, passed: bytes, length: int | None) -> None:
         ticket = self.ticket
+        if ticket.answered:  # the hop beside it was quicker: two answers would be one too many
+            return self.give_up(Outcome.CANCELLED)
         self.flowing, self.moved, self.first = True, clock(), clock()
         ticket.answered = True
         ticket.handle.begun(self.moved, self.order)
@@ -115,6 +124,7 @@
     def settle(self) -> None:
         super().settle()
         self.upstream.yard.deadlines.drop(self.hurry)
+        self.upstream.yard.deadlines.drop(self.late)
 
     def ended(self, outcome: Outcome, took: int, answer: tuple | None) -> None:
         self.router.hop_ended(self, outcome, took, answer)
--- a/tests/routes/test_service.py
+++ b/tests/routes/test_service.py
@@ -189,6 +189,28 @@
     assert not slow and part(made, "quick") > 0.98
 
 
+def test_a_slow_hop_gets_a_second_beside_it_where_the_route_says_so():
+    made = world(
+        pool("main", 3), route("quick", 'path = "/q"', 'pool = "main"', 'second-copy-after = "60ms"'),
+        route("plain", 'path = "/p"', 'pool = "main"'),
+    )  # fmt: skip
+
+    def slow(made):
+        for number in range(3):
+            made.later((1 + 3 * number) * S, made.trouble, f"main-{number}", "hang", S)
+
+    loaded(made, 40, 10 * S, slow)
+    named = {line[2]: line[3] for line in made.witness.lines if line[1] == "asked"}
+    begins, ends, hops = {}, {}, Counter(line[2] for line in made.witness.lines if line[1] == "hop.head")
+    for line in made.witness.lines:
+        if line[1] == "hop.head":
+            begins.setdefault(line[2], line[0])
+        if line[1] == "answer":
+            ends[line[2]] = line[0]
+    took = {name: max(ends[t] - begins[t] for t in ends if named[t] == name) for name in ("quick", "plain")}
+    assert max(hops[t] for t in hops if named[t] == "quick") == 2 and took["quick"] < 150 * MS < took["plain"]
+
+
 def test_a_reload_moves_a_canary_and_takes_a_pool_out_with_its_transactions_open():
     first = pool("main"), pool("old", net=2), route("all", "pools = { main = 1, old = 1 }")
     then = TOP + pool("main") + pool("new", net=3) + route("all", "pools = { main = 1, new = 3 }")
