--- a/dahliabend/net/program/events.py
+++ b/dahliabend/net/program/events.py
@@ -10,11 +10,13 @@
     fields: tuple[str, ...]
 
 
-ENDED = ("tx", "profile", "hops", "out", "ms")  # of a transaction
+ENDED = ("tx", "profile", "route", "hops", "out", "ms")  # of a transaction
 EVENTS = {
     "abandoned": Event("info", "a transaction was answered as failed", ENDED),
     "access": Event(
-        "info", "a transaction has its answer; off by default", ("tx", "how", "profile", "hops", "ms")
+        "info",
+        "a transaction has its answer; off by default",
+        ("tx", "how", "profile", "route", "hops", "ms"),
     ),
     "call": Event(
         "info", "an operator called, and it changed something or failed", ("method", "path", "status")
--- a/dahliabend/net/program/service.py
+++ b/dahliabend/net/program/service.py
@@ -214,6 +214,7 @@
                 running.router.yard.dial_time, running.router.yard.rest = node.dial_time, node.rest
                 running.router.switch(node)
             running.router.access = file.log.access
+            running.router.route_names = [file.routes[number].name for number in profiles[name]]
             self.list_of(running, pool)
         self.desk.use(file, profiles)
         for name in [name for name in self.desk.names if name not in file.pools]:
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -23,7 +23,7 @@
 
     __slots__ = (
         "answered", "body", "caller", "expires", "handle", "head", "hops", "name", "number", "otherwise",
-        "passed", "profile", "seat", "taken", "trace", "trail", "upload",
+        "passed", "profile", "route", "seat", "taken", "trace", "trail", "upload",
     )  # fmt: skip
 
     def __init__(self, caller: Caller, profile: int, head: bytes, passed: bytes, body: bytes, trace: bytes):
@@ -31,6 +31,7 @@
         self.trace, self.taken, self.answered, self.number = trace, clock(), False, -1
         self.name = b""  # of its profile, as on the wire
         self.otherwise: Callable | None = None
+        self.route = ""  # its name, where it came by an operator's
         self.expires, self.upload = 0, None  # how long its caller waits; a body that still comes
         self.handle: Transaction | None = None
         self.seat: Seat | None = None
@@ -182,6 +183,7 @@
         self.stop_at = 0  # when all that is still held is given up; 0: not stopping
         self.counts: dict[str, int] = {}
         self.access = False  # is every transaction logged?
+        self.route_names: list[str] = []  # by profile, where an operator's routes are profiles
         self.seats: list[Seat] = []  # the last takes new transactions; the others end theirs
         self.seat(node)
 
@@ -261,6 +263,7 @@
         head = b"%b %b HTTP/1.1\r\n" % (method, target)
         ticket = Ticket(caller, profile, head, passed, body, trace)
         ticket.name, ticket.otherwise = caller.profile, otherwise
+        ticket.route = self.route_names[profile] if self.route_names else ""
         ticket.number = number = self.tickets.put(ticket)
         if number < 0:
             # The table is full: the caller is told at once, nothing has run.
@@ -434,14 +437,18 @@
     def note(self, how: str, ticket: Ticket) -> None:
         self.counts[how] = self.counts.get(how, 0) + 1
         if self.access and how != "passed_on":
-            self.log("access", tx=ticket.trace.decode("latin-1"), how=how, profile=ticket.profile,
-                     hops=ticket.trail, ms=(clock() - ticket.taken) // 1000)  # fmt: skip
+            self.log("access", tx=ticket.trace.decode("latin-1"), how=how, hops=ticket.trail,
+                     ms=(clock() - ticket.taken) // 1000, **self.kind_of(ticket))  # fmt: skip
         if how != "committed":
             self.log(
-                how, tx=ticket.trace.decode("latin-1"), profile=ticket.profile, hops=ticket.trail,
+                how, tx=ticket.trace.decode("latin-1"), **self.kind_of(ticket), hops=ticket.trail,
                 out=len(ticket.hops) - len(ticket.trail), ms=(clock() - ticket.taken) // 1000,
             )  # fmt: skip
 
+    def kind_of(self, ticket: Ticket) -> dict:
+        """For a line of the log."""
+        return {"route": ticket.route} if ticket.route else {"profile": ticket.profile}
+
     def drop_if_over(self, ticket: Ticket) -> None:
         if ticket.handle.over:
             ticket.seat.held -= 1
