A request sent ahead is split by its own headers, not by the next one's

Cause: the desk asked its caller's connection, whose fields are by then those of the last request read. Found by reading; the test, eight requests sent at once, has three in the wrong pool without the change.

--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,8 @@
 	.venv/bin/python -m pytest -q tests --doctest-modules dahliabend
 
 lint: .venv/dev
-	.venv/bin/ruff check dahliabend tests
-	.venv/bin/ruff format --check dahliabend tests
+	.venv/bin/ruff check dahliabend tests benchmarks
+	.venv/bin/ruff format --check dahliabend tests benchmarks
 
 run: build
 	exec .venv/bin/python -m dahliabend
--- a/dahliabend/net/routing/desk.py
+++ b/dahliabend/net/routing/desk.py
@@ -89,6 +89,7 @@
         self.excluded: set[str] = set()
         self.evacuated, self.stop_at = False, 0
         self.turned_away = 0
+        self.fields: dict[bytes, bytes] = {}
 
     # Pools.
 
@@ -130,6 +131,7 @@
 
     def marks(self, number: int, fields: dict[bytes, bytes]) -> tuple[bytes, bytes]:
         """The transaction's id and how long its caller waits; made here where it names neither."""
+        self.fields = fields  # of the request that is taken next: its caller may be reading another by now
         trace = fields.get(TRACE) or b"%032x" % self.chance.getrandbits(128)
         return trace, fields.get(EXPIRES) or b"%d" % (self.routes.choices[number].total // 1000)
 
@@ -146,9 +148,9 @@
             caller.answer(503, advice, NO_ROOM)
             return -1
         caller.settle = choice.limit.leave
-        key = caller.fields.get(choice.split_by, b"") if choice.split_by else b""
+        key = self.fields.get(choice.split_by, b"") if choice.split_by else b""
         names = choice.ways(key, self.part_ready)
-        if not caller.fields.get(TRACE):
+        if not self.fields.get(TRACE):
             passed += b"X-Trace-Id: %b\r\n" % trace
         common = {"expires": expires, "began": began, "customer": customer, "again": again}
         if choice.mirror and upload is None and self.chance.random() < choice.mirror_share:
--- a/tests/routes/test_service.py
+++ b/tests/routes/test_service.py
@@ -15,6 +15,7 @@
 from dahliabend.emulator.peers.operators import call
 from dahliabend.emulator.peers.upstream import Upstream, UpstreamSpec
 from dahliabend.emulator.services import TROUBLES, ServiceWorld
+from dahliabend.routes.split import Split
 
 MS, S = 1_000, 1_000_000
 TOP = """
@@ -116,6 +117,32 @@
     assert all(len(pools) == 1 for pools in turns.values()) and len(turns) == 10
 
 
+def test_requests_sent_ahead_are_split_by_their_own_headers():
+    made = world(
+        pool("main"), pool("next", net=2),
+        route("split", "pools = { main = 1, next = 1 }", 'split-by = "X-Customer"'),
+    )  # fmt: skip
+    split = Split(["main", "next"], [1, 1], b"split")
+    names = [b"c%d" % n for n in range(8)]
+
+    class Ahead(asyncio.Protocol):
+        def connection_made(self, transport):
+            for number, name in enumerate(names):
+                transport.write(
+                    b"GET / HTTP/1.1\r\nX-Trace-Id: t%d\r\nX-Expires-In-Ms: 900\r\nX-Customer: %b\r\n\r\n"
+                    % (number, name)
+                )
+
+    def begin(world):
+        for number in range(len(names)):
+            world.rules.asked(f"t{number}", "split", 0, S)
+        world.start(world.client, world.client.loop.create_connection(Ahead, *world.place))
+
+    made.play(begin, 5 * S)
+    ran = {line[2]: line[3].rpartition("-")[0] for line in made.witness.lines if line[1] == "effect"}
+    assert ran == {f"t{n}": split.of(name) for n, name in enumerate(names)} and len(set(ran.values())) == 2
+
+
 def test_a_pool_that_is_down_falls_back_and_comes_back():
     made = world(
         pool("main", 2, 'fallback = "spare"\nprobes = true'), pool("spare", 2, net=2),
