Read-through: one life of a program, one way to visit, lines of fallbacks made once

What was written twice or left over: serve and serve_file share live(); half-call and rude share visit(); a route's lines of fallbacks were put together for each transaction, now once a reload; fields and a check's event that nobody read are gone (End.dialled, End.due, Hop.begun, HERE, __all__).

--- a/dahliabend/emulator/checks.py
+++ b/dahliabend/emulator/checks.py
@@ -39,7 +39,6 @@
     cell: int
     zone: str
     whole: int = 0  # when its last byte was taken from the balancer
-    begun: int = 0  # when that came to the upstream
     unrun: bool = False  # the upstream said that it never ran
     done: bool = False  # the upstream answered
     gave: bool = False  # and gave all of that answer
@@ -104,7 +103,7 @@
         }
         for kind in (
             "asked", "nobody", "written", "answer", "extra", "began", "cut", "lost", "left", "spoilt",
-            "hop.head", "hop.whole", "begun", "unrun", "made", "done", "gave", "torn", "told", "yes",
+            "hop.head", "hop.whole", "unrun", "made", "done", "gave", "torn", "told", "yes",
             "starts", "ended", "stalled", "toppled", "crashed", "exhausted", "unreadable",
         ):  # fmt: skip
             witness.on(kind, getattr(self, kind.replace(".", "_")))
@@ -318,10 +317,6 @@
         if hop := self.find(trace, connection):
             hop.whole = self.kernel.now
 
-    def begun(self, trace: str, upstream: str, connection: int) -> None:
-        if hop := self.find(trace, connection):
-            hop.begun = self.kernel.now
-
     def unrun(self, trace: str, upstream: str, connection: int) -> None:
         if hop := self.find(trace, connection):
             hop.unrun = hop.done = True
--- a/dahliabend/emulator/faults.py
+++ b/dahliabend/emulator/faults.py
@@ -363,20 +363,25 @@
         return lambda: self.say(balancer, "rejoin")
 
     def half_call(self, fault: Fault):
-        world, admin = self.world, self.balancer(fault).admin
-        opened = []
+        admin = self.balancer(fault).admin
+        return self.visit(self.world.front_process, 1 + int(20 * fault.size), lambda: admin)
 
-        async def stay() -> None:
-            for _ in range(1 + int(20 * fault.size)):
+    def visit(self, process, count: int, place: Callable[[], tuple[str, int] | None]):
+        """Connections that say no request and stay, until what this returns is called."""
+        world, opened = self.world, []
+
+        async def come() -> None:
+            for _ in range(count):
+                where = place()
+                if where is None:
+                    return
                 try:
-                    opened.append(
-                        await world.front_process.loop.create_connection(lambda: Rude(world.chance), *admin)
-                    )
+                    opened.append(await process.loop.create_connection(lambda: Rude(world.chance), *where))
                 except OSError:
                     return
 
-        world.start(world.front_process, stay())
-        return lambda: world.front_process.run(lambda: [transport.abort() for transport, _ in opened])
+        world.start(process, come())
+        return lambda: process.run(lambda: [transport.abort() for transport, _ in opened])
 
     # Clients.
 
@@ -390,20 +395,4 @@
             )
 
     def rude(self, fault: Fault):
-        world = self.world
-        opened = []
-
-        async def come() -> None:
-            for _ in range(1 + int(RUDE * fault.size)):
-                place = world.front.next()
-                if place is None:
-                    return
-                try:
-                    opened.append(
-                        await world.client.loop.create_connection(lambda: Rude(world.chance), *place)
-                    )
-                except OSError:
-                    return
-
-        world.start(world.client, come())
-        return lambda: world.client.run(lambda: [transport.abort() for transport, _ in opened])
+        return self.visit(self.world.client, 1 + int(RUDE * fault.size), self.world.front.next)
--- a/dahliabend/emulator/network.py
+++ b/dahliabend/emulator/network.py
@@ -176,7 +176,7 @@
         number = self.next_connection
         near = End(self, number, (here, self.any_port()), place)
         far = End(self, number, place, near.local)
-        near.peer, far.peer, near.dialled = far, near, True
+        near.peer, far.peer = far, near
         near.caller = far.caller = process
         self.open[number] = near
         near.tap = self.tap(near) if self.tap is not None else None
@@ -216,7 +216,7 @@
     """One end of a connection."""
 
     __slots__ = (
-        "arrived_last", "busy_until", "caller", "closed_at", "dialled", "due", "fin_queued", "fin_seen",
+        "arrived_last", "busy_until", "caller", "closed_at", "fin_queued", "fin_seen",
         "fin_sent", "forgotten", "gone", "held", "in_flight", "local", "network", "number", "out", "peer",
         "read_shut", "remote", "reset_seen", "sock", "tap", "unread", "used",
     )  # fmt: skip
@@ -229,9 +229,9 @@
         self.in_flight = 0  # bytes sent, not come yet
         self.unread: bytearray = bytearray()  # come, not read yet
         self.fin_queued = self.fin_sent = self.fin_seen = self.reset_seen = False
-        self.read_shut = self.gone = self.dialled = False
+        self.read_shut = self.gone = False
         self.closed_at = 0  # when its owner ended it, or its sending on it
-        self.busy_until = self.arrived_last = self.due = 0
+        self.busy_until = self.arrived_last = 0
         self.held: list[tuple[Callable, tuple]] = []  # lost on a way that is cut: sent again once it is whole
         self.used = network.kernel.now
         self.forgotten = 0  # microseconds of idleness after which the way no longer knows it
--- a/dahliabend/emulator/services.py
+++ b/dahliabend/emulator/services.py
@@ -26,7 +26,6 @@
 from dahliabend.settings.types import File, Member
 
 FILE = "/etc/dahliabend/file.toml"
-HERE = "10.0.0.10"
 SEMANTICS = {"idempotent": "idempotent", "journalled": "deduplicated", "non-idempotent": "at_most_once"}
 REST = 8_000_000
 TROUBLES = ("hang", "slow", "fail", "reset", "crash", "garble", "refuse")
@@ -254,6 +253,3 @@
         held = len(router.tickets), len(router.traces), sum(s.held for s in router.seats), router.out()
         if any(held):
             self.rules.broken("left behind", f"{pool.name}: {held} tickets, ids, in seats, hops")
-
-
-__all__ = ["FILE", "ServiceWorld", "TROUBLES"]
--- a/dahliabend/emulator/transports.py
+++ b/dahliabend/emulator/transports.py
@@ -23,11 +23,10 @@
         self.pieces: list[memoryview] = []
         self.buffered = 0
         self.high = 65536
-        self.pausing = self.held = self.closing = self.lost = self.told_end = self.ends = self.begun = False
+        self.pausing = self.held = self.closing = self.lost = self.told_end = self.ends = False
         loop.call_soon(self.begin, waiter)
 
     def begin(self, waiter) -> None:
-        self.begun = True
         self.protocol.connection_made(self)
         self.sock.transport = self
         if waiter is not None and not waiter.done():
--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -4,7 +4,7 @@
 import gc
 import os
 import signal
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from dahliabend.config import Node, reread_node
 from dahliabend.net.program.figures import Figures
@@ -262,12 +262,17 @@
 
 
 async def serve(node: Node, log: Log) -> None:
+    await live(lambda: Program(node, os.environ, log), log)
+
+
+async def live(make: Callable[[], Program], log: Log) -> None:
+    """A program, from its making until it ends."""
     loop = asyncio.get_running_loop()
     log.attach(loop)
     loop.set_exception_handler(
         lambda _, context: log("error", what=context.get("message"), why=repr(context.get("exception")))
     )
-    program = Program(node, os.environ, log)
+    program = make()
     # What the start made stays: no pause is spent on walking it again. Before anything is dialled: a pause
     # longer than the dialling may take would have it given up.
     gc.collect()
--- a/dahliabend/net/program/service.py
+++ b/dahliabend/net/program/service.py
@@ -1,7 +1,6 @@
 """A balancer that goes by an operator's file: several pools behind one listener, reloaded whole."""
 
 import asyncio
-import gc
 import os
 from collections.abc import Callable, Iterator, Mapping
 
@@ -12,7 +11,7 @@
 from dahliabend.net.program.figures import Figures
 from dahliabend.net.program.log import Log
 from dahliabend.net.program.operations import Operations
-from dahliabend.net.program.serve import BEAT, Program
+from dahliabend.net.program.serve import BEAT, Program, live
 from dahliabend.net.program.structured import Structured
 from dahliabend.net.protocol.discovery import Book, Discovery
 from dahliabend.net.protocol.headers import MOST
@@ -306,13 +305,4 @@
 
 
 async def serve_file(path: str, log: Log) -> None:
-    loop = asyncio.get_running_loop()
-    log.attach(loop)
-    loop.set_exception_handler(
-        lambda _, context: log("error", what=context.get("message"), why=repr(context.get("exception")))
-    )
-    service = Service(path, os.environ, log)
-    gc.collect()
-    gc.freeze()
-    await service.start()
-    await service.end()
+    await live(lambda: Service(path, os.environ, log), log)
--- a/dahliabend/routes/choice.py
+++ b/dahliabend/routes/choice.py
@@ -13,8 +13,10 @@
 class Choice:
     """One route's. `ways` says where a transaction goes, asked with how much of each pool is ready."""
 
-    __slots__ = ("backs", "below", "effective", "limit", "mirror", "mirror_share", "name", "profile", "reach",
-                 "split", "split_by", "total")  # fmt: skip
+    __slots__ = (
+        "backs", "below", "effective", "limit", "lines", "mirror", "mirror_share", "name", "profile", "reach",
+        "split", "split_by", "total",
+    )  # fmt: skip
 
     def __init__(self, file: File, route: Route, number: int) -> None:
         made = self.effective = Effective(file, route, number)
@@ -31,7 +33,8 @@
             for name, pool in file.pools.items()
         }
         self.below = {name: pool.fallback_below for name, pool in file.pools.items()}
-        self.reach = tuple(dict.fromkeys(each for name in weights for each in self.line(name)))
+        self.lines = {name: self.line(name) for name in weights}
+        self.reach = tuple(dict.fromkeys(each for line in self.lines.values() for each in line))
 
     def line(self, name: str) -> list[str]:
         """A pool, and those that it falls back to, in order."""
@@ -44,7 +47,7 @@
         """The pools that a transaction is offered to, in order: its own by weight, then those it falls back
         to. Where one turns it away unseen, the next has it. One of which too little is ready is passed by; if
         all are, the first has it: its trouble is its own, and not the last one's."""
-        line = self.line(self.split.of(key) if key else self.split.turn())
+        line = self.lines[self.split.of(key) if key else self.split.turn()]
         return [name for name in line if part_ready(name) > self.below[name]] or line[:1]
 
     def goes_on_from(self, before: "Choice") -> None:
