Order for each key: one at a time as taken, and a rest after a hop that may go on

A line is no longer than can be served in time (early rollback with the time to come back), one whose limit comes near in line has its answer at the next beat, and nothing is kept of a key once its line is empty and its rest over. config.py reads and checks the new settings, for sockets too; goal.nines-part and top-nines are read and checked, no decision uses them yet.

--- a/dahliabend/benchlink/host.py
+++ b/dahliabend/benchlink/host.py
@@ -66,8 +66,8 @@
         if code in (wire.RETURNED, wire.CLIENT_GONE, wire.HEAD_RECEIVED):
             self.happened(now, code, fields)
         elif code == wire.JOB_IN:
-            _, ref, lane, billing, _, deadline, _, options = fields
-            tx = balancer.take(now, ref, lane, billing, config.us(deadline), bool(options & 2))
+            _, ref, lane, billing, item, deadline, _, options = fields
+            tx = balancer.take(now, ref, lane, billing, config.us(deadline), bool(options & 2), key=item)
             if not tx.over:
                 self.handles[ref] = tx
         elif code == wire.BELL:
--- a/dahliabend/config.py
+++ b/dahliabend/config.py
@@ -28,6 +28,7 @@
     name: str = ""
     stream: bool = False
     dedup_window: float = 0.0
+    in_order: bool = False
 
 
 class _Tenant(_Wire):
@@ -59,11 +60,15 @@
     fall_multiple: float
     ask_within: float = 0.0
     answer_slack: float = 20.0
+    order_pause: float = 0.0
+    drain_binds_alone: bool = False
 
 
 class _Goal(_Wire):
     whole: float = 1.0
     worst_class: float = 0.0
+    nines_part: float = 0.0
+    top_nines: float = 3.0
 
 
 class _Fees(_Wire):
@@ -292,10 +297,15 @@
     _within(f"{above}caps.max-streams", caps.max_streams, 1, 1 << 16)
     _within(f"{above}fees.cross-zone", conf.fees.cross_zone, 0, 1e6)
     _within(f"{above}balancers", conf.balancers, 0, 1 << 20)
+    _within(f"{above}contract.order-pause", contract.order_pause, 0, 1e9)
+    _within(f"{above}goal.nines-part", conf.goal.nines_part, 0, 1e6)
+    _within(f"{above}goal.top-nines", conf.goal.top_nines, 0.001, 1e6)
     profiles = []
     for number, p in enumerate(conf.profiles):
         if p.semantics not in _EFFECTS:
             raise ValueError(f"{above}profiles[{number}].semantics: {p.semantics!r} is unknown")
+        if p.in_order and p.stream:
+            raise ValueError(f"{above}profiles[{number}].in-order: not together with stream")
         if p.group not in _GROUPS:
             raise ValueError(f"{above}profiles[{number}].group: {p.group!r} is unknown")
         _within(f"{above}profiles[{number}].service-goal", p.service_goal, 0.001, 1e9)
@@ -309,6 +319,7 @@
                 hard_limit=us(p.hard_limit),
                 revenue=p.revenue,
                 late_share=p.tardy_revenue,
+                in_order=p.in_order,
             )
         )
     return Settings(
@@ -332,4 +343,6 @@
         cold_share=contract.cold_share,
         cold_time=us(contract.cold),
         cold_multiple=contract.fall_multiple,
+        order_pause=us(contract.order_pause),
+        drain_alone=contract.drain_binds_alone,
     )
--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -8,6 +8,7 @@
 from random import Random
 
 from dahliabend.model import Effect, Group, Outcome, Port, Settings, State
+from dahliabend.order import REST, Lines
 
 BEAT = 1 / 4  # of the shortest service goal: how often health is looked at
 WINDOW = 4  # beats in a window over which a metric is taken
@@ -106,8 +107,8 @@
 class Transaction:
     """The handle of a transaction taken."""
 
-    def __init__(self, home, ref: int, profile: int, deadline: int, coming: bool) -> None:
-        self.coming, self.spent, self.flowing, self.twins = coming, False, False, 0  # twins: beside another
+    def __init__(self, home, ref: int, profile: int, deadline: int, coming: bool, key=0) -> None:
+        self.key, self.coming, self.spent, self.flowing, self.twins = key, coming, False, False, 0  # twins: beside another
         self.home, self.ref, self.profile, self.end = home, ref, profile, deadline
         self.kind, self.value = home.profiles[profile], home.values[profile]
         self.hops, self.out, self.done, self.most = [], 0, False, self.kind.most_hops or home.most_hops
@@ -137,11 +138,14 @@
             cut = outcome is Outcome.RESET and took < self.home.usual[self.profile] * STEP
             self.home.learn_rested(hop.idle, round(UNWELL / STEP) if cut else unheard)
         self.done = self.done or complete
+        if self.key and outcome in (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED):
+            self.home.lines.unsure(self, now)
         self.home.learn(now, self, hop.upstream, outcome, took)
         if not self.done and not self.out:
             self.home.resend(self, now, outcome)
         elif self.done and self.out:
             self.home.call_off(self)
+        self.end_turn(now)
 
     def begun(self, now: int, number: int) -> None:
         """A streamed answer has started: the client has it, so its hop is not called off any more."""
@@ -169,6 +173,11 @@
     def left(self, now: int) -> None:
         self.done = True
         self.home.call_off(self)
+        self.end_turn(now)
+
+    def end_turn(self, now: int) -> None:
+        if self.key and self.over:
+            self.home.lines.leave(self, now)
 
 
 class Balancer:
@@ -204,6 +213,7 @@
         self.held_back = self.pressed = self.awake = False
         self.beside = 0  # hops in flight of another process that is the same balancer to its upstreams
         self.send_rate, self.credit = 0.0, 1.0  # hops a microsecond; retries to spend
+        self.lines = Lines(s.order_pause, port)
 
     def listed(self, now: int, rows, full: bool) -> None:
         if not self.awake:
@@ -273,8 +283,9 @@
         if self.ask_again:  # after a while, at random: a registry that failed under load is not stormed
             self.port.wake(now + round(self.ask_again * (1 + self.chance()) / 2), 1)
 
-    def take(self, now, ref, profile, customer, deadline, repeat=False, coming=False) -> Transaction:
-        tx = Transaction(self, ref, profile, deadline, coming)
+    def take(self, now, ref, profile, customer, deadline, repeat=False, coming=False, key=0) -> Transaction:
+        key = key if self.profiles[profile].in_order else 0
+        tx = Transaction(self, ref, profile, deadline, coming, key)
         self.first_tries += not repeat
         if self.entrance:
             tx.end = deadline if coming else self.limit(tx, now, deadline)
@@ -290,9 +301,21 @@
                 self.held_back = True
                 self.give_up(tx)
                 return tx
-        self.send(tx, now)
+        if key and (ahead := self.lines.ahead(key)):
+            # A popular key's line would grow without end: no longer than can still be served in time.
+            wait = round(ahead * self.usual[profile])
+            if tx.end - now <= wait + self.least(tx):
+                self.give_up(tx, wait)
+                return tx
+        if not key or self.lines.join(tx):
+            self.send(tx, now)
+            tx.end_turn(now)
         return tx
 
+    def least(self, tx: Transaction) -> int:
+        """What has to be left of its time for a transaction that waits for its turn."""
+        return max(self.beat, round(self.usual[tx.profile]))
+
     def limit(self, tx: Transaction, now: int, deadline: int) -> int:
         """An answer after the goal may be worth nothing: then no work for it."""
         worthless = self.entrance and not tx.kind.late_share
@@ -429,12 +452,12 @@
         self.credit -= costs
         self.send(tx, now)
 
-    def give_up(self, tx: Transaction) -> None:
+    def give_up(self, tx: Transaction, wait: int = 0) -> None:
         tx.done = True
         self.call_off(tx)
         known = tx.kind.effect is Effect.JOURNALLED and tx.kind.group is Group.ALL
         if tx.kind.effect is Effect.IDEMPOTENT or known or not tx.risk():  # harmless to try again
-            self.port.roll_back(tx.ref, min(self.advice, round(tx.kind.service_goal * ADVICE)))
+            self.port.roll_back(tx.ref, min(self.advice, max(wait, round(tx.kind.service_goal * ADVICE))))
         else:
             self.port.abandon(tx.ref)
 
@@ -520,9 +543,13 @@
 
     def woken(self, now: int, token: int) -> None:
         if token:
-            return self.port.ask_list()
+            return self.lines.woken(now) if token == REST else self.port.ask_list()
         self.port.wake(now + self.beat, 0)
         self.beats += 1
+        for tx in self.lines.waiting():
+            if tx.end - now <= self.least(tx):  # unsent at its limit it would have no answer in time
+                self.give_up(tx)
+                tx.end_turn(now)
         for u in self.ready:
             if u.aside and self.may_probe:
                 self.sound(u)
--- a/dahliabend/model.py
+++ b/dahliabend/model.py
@@ -62,6 +62,7 @@
     hard_limit: int
     revenue: float
     late_share: float  # of the revenue, for an answer after the service goal
+    in_order: bool = False  # those of one key run one at a time, as taken
     hop_time: int = 0  # that one hop may take; 0: what is left
     most_hops: int = 0  # 0: as the settings say
     replays: int = -1  # hops after ones that may have run; -1: as many as the effect allows
@@ -90,6 +91,8 @@
     cold_share: float
     cold_time: int
     cold_multiple: float
+    order_pause: int = 0  # a key rests this long after a hop that may go on
+    drain_alone: bool = False  # only draining binds: one that is gone without it may still be sent to
     retry_share: float = 0.1  # of first hops: what may be spent on hops after one that may have run
 
 
