Start by the root of a balancer's part, a profile that drags, tries after probes, gone not binding

Change: the first crowd is START times the root of upstreams by balancer where that is under one. Only a transaction's first hop tells of the tier. An entry of the tier with one profile: where one profile's hops fail everywhere and another's don't, no upstream is at fault (nothing set aside, no crowd read from it) and its share is refused while places are short. One set aside again without a commitment comes back by a hop that may run again, not by its probe; probing is spaced likewise. contract.drain-binds-alone: one gone without draining stays for as long as it answers.

--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -23,7 +23,6 @@
 START, LEAST = 5, 4  # hops an upstream, all balancers together: the crowd let in at first, and always
 GROW, RAMP, SHRINK = 5 / 4, 3 / 2, 1 / 2  # the most that it may change between looks; RAMP at first
 EQUAL = 3 / 5  # of the crowd: let in whatever the revenue; above it the more valuable go first
-SKIP = 1  # of the mean in flight: an upstream above it is skipped
 SLOW = 3 / 2  # of the usual time: the most by which a slow upstream's hops tell less of the crowd
 SILENT = 4  # of the tier's usual time, with hops out and nothing heard: the upstream is set aside
 PATIENCE = 8  # of a profile's usual time, or half its goal: a hop that may be repeated waits no longer
@@ -50,8 +49,8 @@
     __slots__ = ("bad", "metric", "opened", "replaced", "tried", "until")
 
     def __init__(self) -> None:
-        self.metric, self.until, self.replaced, self.opened = 0.0, 0, 0, 0
-        self.tried = self.bad = 0
+        self.metric, self.until = 0.0, 0
+        self.replaced = self.opened = self.tried = self.bad = 0
 
     def share(self, now: int) -> float:
         """The metric while it is valid."""
@@ -64,8 +63,7 @@
             return  # the window stays open: a quiet balancer reaches the floor later, not never
         if self.tried:  # an empty window neither replaces nor renews
             seen = self.bad / self.tried if self.tried >= floor else 0.0
-            # Throttling thins the traffic read here: a share dropped at the first clean window would let the
-            # load return in waves, so it is eased.
+            # Throttling thins the traffic read here: dropped at one clean window, load would return in waves.
             new = max(min(1.0, self.metric + seen * EASE) if adds else seen, self.metric * EASE)
             if abs(new - self.metric) >= STEP or not seen and now - self.replaced >= LINGER * validity:
                 self.metric = new if new >= STEP else 0.0
@@ -108,8 +106,8 @@
     """The handle of a transaction taken."""
 
     def __init__(self, home, ref: int, profile: int, deadline: int, coming: bool, key=0) -> None:
-        self.key, self.coming, self.spent, self.flowing, self.twins = key, coming, False, False, 0  # twins: beside another
-        self.home, self.ref, self.profile, self.end = home, ref, profile, deadline
+        self.coming, self.spent, self.flowing, self.twins = coming, False, False, 0  # twins: beside another
+        self.home, self.ref, self.profile, self.end, self.key = home, ref, profile, deadline, key
         self.kind, self.value = home.profiles[profile], home.values[profile]
         self.hops, self.out, self.done, self.most = [], 0, False, self.kind.most_hops or home.most_hops
 
@@ -186,6 +184,7 @@
         self.profiles, self.most_hops, self.zone = s.profiles, s.most_hops, s.zone
         self.may_cancel, self.may_probe = s.may_cancel, s.may_probe
         self.entrance = s.tier == 0  # calls of the tiers behind are work already paid for
+        self.drain_alone, self.may_try = s.drain_alone, any(p.effect is Effect.IDEMPOTENT for p in s.profiles)
         self.fee, self.excess, self.retries = s.cross_zone_fee, s.excess_share, s.retry_share
         self.advice, self.ask_again = s.longest_advice * s.advises, s.ask_within // 8 * s.ask_for_list
         self.cold_from, self.cold_time, self.cold_excess = s.cold_share, s.cold_time, s.cold_multiple / 2
@@ -202,10 +201,12 @@
         self.upstreams: dict[int, Upstream] = {}  # those listed, by index
         self.ready, self.near, self.far = [], [], []  # the highest ranks first; far: where crossing costs
         self.using, self.abroad = [], []  # the sets in use of near and of far ones
-        self.trial: Upstream | None = None  # set aside long enough to be tried
+        self.trials: dict[Upstream, None] = {}  # set aside for long enough to be tried
         self.number, self.reach, self.most = s.number, 0, 1  # upstreams in use, and ever ready at once
         self.tier, self.home, self.rested, self.gap = Entry(), Entry(), Entry(), 0.0
         self.usual = [0.0] * len(s.profiles)  # the mean hop time, by profile
+        self.kinds = [Entry() for _ in s.profiles]  # of the whole tier with one profile
+        self.drags = [False] * len(s.profiles)  # does it fail at every upstream, and others not?
         self.took = self.stretch = self.low = self.mean_value = 0.0  # over all
         # Hops in flight, but for those at upstreams set aside; how many are let in, found, were served well.
         self.out, self.ceiling, self.crowd, self.borne, self.others = 0, 0.0, 0.0, 0.0, 1 - 1 / s.balancers
@@ -223,7 +224,7 @@
                 self.port.ask_list()
         gone = {row[0] for row in rows if row[1] is State.GONE}
         gone |= self.upstreams.keys() - {row[0] for row in rows} if full else set()
-        for index, state, born, weight, cell, zone, ident in rows:
+        for index, state, born, weight, cell, zone, ident in (row for row in rows if row[0] not in gone):
             if index not in self.upstreams:
                 rank = blake2b(ident, key=b"%d" % self.number, digest_size=8).digest()
                 self.upstreams[index] = Upstream(index, rank, len(self.profiles))
@@ -231,22 +232,31 @@
             if born != u.born:
                 self.out += len(u.held) if u.aside else 0
                 u.begin(born, now, self.chance())
-            u.state, u.weight, u.cell, u.zone = state, weight if weight > 0 else 1.0, cell, zone
-        for index in gone:  # left out of a full list is gone too: none may be sent there
-            self.upstreams.pop(index).state = State.GONE  # hops still out keep the record until they end
+            u.state, u.cell, u.zone, u.listed = state, cell, zone, True
+            u.weight = weight if weight > 0 else 1.0
+        for u in (self.upstreams[index] for index in gone & self.upstreams.keys()):
+            u.listed = False
+            # Where only draining binds, a wrong list would take out what serves: kept while it answers.
+            u.state = u.state if self.drain_alone and u.state is State.READY else State.GONE
+        self.arrange()
+
+    def arrange(self) -> None:
+        # Hops still out keep the record of one that is gone until they end.
+        self.upstreams = {i: u for i, u in self.upstreams.items() if u.state is not State.GONE}
         ready = (u for u in self.upstreams.values() if u.state is State.READY)
         self.ready = sorted(ready, key=lambda u: u.rank, reverse=True)
         self.near = [u for u in self.ready if not self.fee or u.zone == self.zone]
         self.far = [u for u in self.ready if self.fee and u.zone != self.zone]
         self.most = max(self.most, len(self.ready))
-        self.ceiling = self.ceiling or START * max(1.0, len(self.ready) / self.balancers)
+        # Of more balancers than upstreams each has but a part of a hop for one: the root leaves it chance.
+        part = len(self.ready) / self.balancers
+        self.ceiling = self.ceiling or START * max(part, part**0.5)
         # Connections opened to all by very many balancers at once would leave none for most of them.
         self.reach = self.reach or max(SET, self.most if self.most >= self.balancers else 0)
         self.narrow()
 
     def known(self, ends: bool) -> dict:
-        """What is known, in plain values, for decisions that follow, here or in another process; `ends`:
-        these take nothing more. One budget: else a cold upstream could be sent twice what it bears."""
+        """What is known, in plain values; `ends`: these take nothing more. A cold upstream has one budget."""
         upstreams = {}
         for index, u in self.upstreams.items():
             u.budget /= 1 if ends else 2
@@ -256,8 +266,7 @@
         return known | {"crowd": [getattr(self, name) for name in CROWD]}
 
     def follow(self, known: dict, same: list[tuple[int, int]]) -> int:
-        """Takes over from others; `same` pairs the profiles. Returns of how many upstreams what is known
-        holds on. What hangs on goals, limits or sizes starts afresh where these are other ones."""
+        """Takes over from others; `same` pairs the profiles. Returns of how many upstreams it holds on."""
         for profile, was in same:
             self.usual[profile] = known["usual"][was]
         self.gap, kept = known["gap"], 0
@@ -293,27 +302,23 @@
                 tx.value *= self.excess  # turned away first: else one customer's burst costs all the others
             self.mean_value = blend(self.mean_value, tx.value)
             limit = self.ceiling * (EQUAL + (1 - EQUAL) * tx.value)
-            # Crowded upstreams choke before they refuse: they count as full above the crowd they bear, with
-            # room for chance where balancers are many: else each refuses what all together could serve.
+            # Crowded upstreams choke before they refuse. Room for chance: many balancers have few hops each.
             out = self.out + self.beside
             self.crowd = blend(self.crowd, out)
             if out >= limit + ((limit * self.others) ** 0.5 if self.crowd < limit else 0.0):
                 self.held_back = True
                 self.give_up(tx)
                 return tx
-        if key and (ahead := self.lines.ahead(key)):
-            # A popular key's line would grow without end: no longer than can still be served in time.
-            wait = round(ahead * self.usual[profile])
-            if tx.end - now <= wait + self.least(tx):
-                self.give_up(tx, wait)
-                return tx
-        if not key or self.lines.join(tx):
+        ahead = self.lines.ahead(key) if key else 0
+        wait = round(ahead * self.usual[profile])
+        if ahead and tx.end - now <= wait + self.least(tx):
+            self.give_up(tx, wait)  # a popular key's line would grow beyond what can still be served in time
+        elif not key or self.lines.join(tx):
             self.send(tx, now)
             tx.end_turn(now)
         return tx
 
-    def least(self, tx: Transaction) -> int:
-        """What has to be left of its time for a transaction that waits for its turn."""
+    def least(self, tx: Transaction) -> int:  # of its time, that has to be left at its turn
         return max(self.beat, round(self.usual[tx.profile]))
 
     def limit(self, tx: Transaction, now: int, deadline: int) -> int:
@@ -330,13 +335,16 @@
     def send(self, tx: Transaction, now: int) -> None:
         if now >= tx.end or len(tx.hops) >= tx.most or not tx.repeatable(now):
             return self.give_up(tx)
+        dragging = self.kinds[tx.profile].share(now) if self.drags[tx.profile] else 0.0
+        if dragging and self.out >= EQUAL * self.ceiling and self.chance() < dragging:
+            # It would hold places until it fails too, here and above, and choke what serves the others.
+            return self.give_up(tx)
         u = self.try_aside(tx, now) or self.choose(tx, now)
         if u and not tx.hops:
             entry = self.governing(u, tx.profile, now)
             if entry is not self.tier and self.chance() < entry.share(now):
                 clean = self.choose(tx, now, clean=True)
-                # Where all hold shares no one upstream is in trouble, and the tier's decides: refusing each
-                # its own would spare nobody, and where all fail at times, whatever the load, serve nobody.
+                # Where all hold shares none is in trouble alone: each refusing its own would spare nobody.
                 u, entry = (clean, entry) if clean else (u, self.tier)
             # Behind the entrance a refusal wastes the work done above.
             if entry is self.tier and self.entrance and (share := entry.share(now)):
@@ -353,12 +361,11 @@
         return max(1, hop_time)
 
     def try_aside(self, tx: Transaction, now: int) -> Upstream | None:
-        """Without probes one hop that may run again tells whether an upstream set aside answers: brought back
-        with its full turn, a hung one would cost others that may not."""
-        u = self.trial
-        if not u or tx.hops or tx.kind.effect is not Effect.IDEMPOTENT or not self.usual[tx.profile]:
+        """A hop that may run again tells if one set aside answers, whatever probes say; others cost more."""
+        fit = tx.kind.effect is Effect.IDEMPOTENT and not tx.hops and self.usual[tx.profile]
+        if not self.trials or not fit:
             return None
-        self.trial = None
+        u = self.trials.popitem()[0]
         # All balancers may try a cold one in the same second: its budget holds for tries too.
         return u if u.aside and u.state is State.READY and not u.held and self.warmth(u, now) else None
 
@@ -366,7 +373,6 @@
         return tx.kind.effect is not Effect.NON_IDEMPOTENT and len(tx.hops) < tx.most and not tx.spent
 
     def patience(self, tx: Transaction) -> int:
-        """How long a hop that may be repeated waits."""
         return max(tx.kind.service_goal // 2, round(PATIENCE * self.usual[tx.profile]))
 
     def governing(self, u: Upstream, profile: int, now: int) -> Entry:
@@ -384,7 +390,7 @@
         for pool, careful in (first, True), (second, True), (self.ready, True), (self.ready, False):
             well, total, best = [u for u in pool if not u.aside], 0.0, None
             weights, loads = sum(u.weight for u in well), sum(len(u.held) for u in well)
-            mean = SKIP * loads / weights if weights else 0.0
+            mean = loads / weights if weights else 0.0
             for u in pool:
                 if careful and (u.aside or u in used) or risk and not self.same_group(tx, u, risk):
                     continue
@@ -413,8 +419,7 @@
         """The least share of its capacity that an upstream has; 0 if it is cold and its budget is spent."""
         if not u.born or now - u.born >= self.cold_time:
             return 1.0
-        # All balancers together must not push it over: each sends at most that share of half the multiple
-        # of what it sends an upstream in the mean, one hop at a time.
+        # All must not push it over: each sends that share of half the multiple of its mean rate, one by one.
         warm = self.cold_from + (1 - self.cold_from) * max(0, now - u.born) / self.cold_time
         rate = self.send_rate / self.most * warm * self.cold_excess
         u.budget = min(1.0, u.budget + (now - u.filled) * rate)
@@ -435,7 +440,6 @@
         self.port.send(tx.ref, u.index, self.hop_time(tx, now))
 
     def let_in(self, tx: Transaction, hop: Hop) -> None:
-        """From now on it counts as in flight."""
         u = hop.upstream
         u.heard = u.heard if u.held else hop.sent
         u.held[tx] = hop
@@ -445,7 +449,6 @@
         self.out -= u.held.pop(tx, None) is not None and not u.aside
 
     def resend(self, tx: Transaction, now: int, outcome: Outcome) -> None:
-        """After a hop without an answer: another, where the profile allows and the retries are not spent."""
         costs = not outcome.proves_unrun  # retries multiply across tiers
         if outcome is Outcome.MOOT or costs and self.credit < 1:
             return self.give_up(tx)
@@ -488,6 +491,11 @@
             self.usual[tx.profile] = blend(usual, took)
             self.took = blend(self.took, took)
             self.served, u.strikes = self.served + 1, 0
+        # One profile that drags everywhere, by what it waits for, is no upstream's fault, and no crowd.
+        kind = self.kinds[tx.profile]
+        kind.tried, kind.bad = kind.tried + 1, kind.bad + (bad and not outcome.proves_unrun)
+        if self.drags[tx.profile]:
+            return
         # One slow or silent upstream is hardly a crowd, and throttling the tier would not mend it.
         if outcome in (Outcome.COMMITTED, Outcome.TIMED_OUT) and u.heard > now - took:
             # Nor is one costly hop among few: none tells of more than its whole goal.
@@ -497,8 +505,7 @@
         for entry in (u.entries[tx.profile], u.entries[-1]):
             entry.tried += 1
             entry.bad += bad
-        # Quick failures draw load until the window's end, and one that answers probes but no hop draws it
-        # each time it is back, until it has its floor again.
+        # Quick failures draw load until the window's end, and again whenever one that answers probes is back.
         unwell = u.entries[-1].tried >= FLOOR and u.entries[-1].bad >= UNWELL * u.entries[-1].tried
         quick = outcome is Outcome.ERROR and took < usual * STEP
         if quick and (u.strikes or unwell) and self.tier.metric < UNWELL / 2:
@@ -507,9 +514,11 @@
             self.home.tried += 1
             self.home.bad += (bad or took > LATE * tx.kind.service_goal) - self.fee * EASE
         # One slow or costly hop says nothing of the tier: time-outs count only while hops take long.
-        self.tier.tried += 1
-        self.tier.bad += bad and (self.pressed or outcome.proves_unrun)
-        if u.aside and not self.may_probe:
+        # Of one transaction the first hop tells: one that finds five full in a row would count as five.
+        if tx.hops[0].upstream is u:
+            self.tier.tried += 1
+            self.tier.bad += bad and (self.pressed or outcome.proves_unrun)
+        if u.aside and now - took > u.since:  # a try; what was sent before says nothing new
             u.since, u.strikes = now, u.strikes + bad
             if not bad:
                 self.bring_back(u, now)
@@ -523,17 +532,13 @@
             u.strikes += 1
             self.out -= len(u.held)  # what hangs there is no crowd elsewhere
             self.narrow()
-            self.sound(u)
-
-    def sound(self, u: Upstream) -> None:
-        if self.may_probe and not u.sounding and u.state is State.READY:
-            u.sounding = True
-            self.port.probe(u.index)
 
     def probed(self, now: int, index: int, outcome: Outcome) -> None:
         if u := self.upstreams.get(index):  # not gone meanwhile
             u.sounding = False
-            if u.aside and outcome is Outcome.COMMITTED and now - u.since >= self.beat << min(u.strikes, 6):
+            if u.aside and outcome is Outcome.COMMITTED and self.may_try and u.strikes > 1:
+                self.trials[u] = None
+            elif u.aside and outcome is Outcome.COMMITTED:
                 self.bring_back(u, now)
 
     def bring_back(self, u: Upstream, now: int) -> None:
@@ -551,18 +556,21 @@
                 self.give_up(tx)
                 tx.end_turn(now)
         for u in self.ready:
-            if u.aside and self.may_probe:
-                self.sound(u)
-            elif u.aside:
-                waited, wait = now - u.since, max(self.validity, self.span << min(u.strikes, 6))
-                if waited >= LINGER * wait:
+            if u.aside:
+                least = self.beat if self.may_probe else max(self.validity, self.span)
+                waited, wait = now - u.since, least << min(u.strikes, 6)
+                if waited >= wait and self.may_probe and not u.sounding:
+                    u.sounding = True
+                    self.port.probe(u.index)
+                elif waited >= LINGER * wait and not self.may_probe:
                     self.bring_back(u, now)  # nothing came by that may run again
-                elif waited >= wait:
-                    self.trial = u
-            elif u.held and self.last_heard > u.heard and now - u.heard > SILENT * self.took + self.beat:
+                elif waited >= wait and not self.may_probe:
+                    self.trials[u] = None
+            elif self.last_heard > u.heard and now - u.heard > SILENT * self.took + self.beat:
                 # Hung upstreams are silent until time-outs: others answer, this one does not.
-                self.set_aside(u, now)
-                for tx, hop in tuple(u.held.items()):
+                if not all(self.drags[tx.profile] for tx in u.held):
+                    self.set_aside(u, now)
+                for tx, hop in tuple(u.held.items()) if u.aside else ():
                     if not tx.done and self.may_follow(tx) and now - hop.sent >= self.patience(tx):
                         self.call_off(tx)
         looked = now - self.weighed
@@ -573,8 +581,7 @@
             self.close_window(now)
 
     def floor(self, since: int) -> int:
-        """Half the tier's floor does for a balancer that has waited long for it: a crowd would not wait."""
-        return TIER_FLOOR if since < self.span else TIER_FLOOR // 2
+        return TIER_FLOOR if since < self.span else TIER_FLOOR // 2  # a crowd would not wait for the whole
 
     def weigh_crowd(self, now: int) -> None:
         """Sets the crowd let in by how long hops take; a change shows only after a hop's time or two."""
@@ -594,6 +601,15 @@
         self.tier.close(now, self.floor(now - self.tier.opened), self.validity)
         self.home.close(now, FLOOR, self.validity, adds=True)
         self.rested.close(now, TIER_FLOOR, LINGER * self.validity)
+        for kind in self.kinds:
+            kind.close(now, TIER_FLOOR // 2, self.validity)
+        clean = any(kind.until > now and kind.metric < UNWELL / 2 for kind in self.kinds)
+        self.drags = [clean and kind.share(now) >= 1 - UNWELL for kind in self.kinds]
+        # What has not answered for as long as a start takes has nothing to speak for it but an old list.
+        if stale := [u for u in self.ready if not u.listed and now - u.answered > self.cold_time]:
+            for u in stale:
+                u.state = State.GONE
+            self.arrange()
         some_warm = any(now - u.born >= self.cold_time for u in self.ready)
         for u in self.ready:
             for entry in u.entries:
