Order for each key on sockets: X-Item names it, lines outlive a switch of settings

The header X-Item (the wire's item) is a transaction's key. After SIGHUP with other settings the new decisions stand behind what the ones before have in hand; without that, one of a key could go out beside another. A transaction in line has no hop, so nothing ended it: it is dropped with its answer, and at SIGTERM its limit is the program's end.

--- a/dahliabend/benchlink/host.py
+++ b/dahliabend/benchlink/host.py
@@ -30,6 +30,8 @@
 
     def roll_back(self, ref: int, come_back_in: int) -> None:
         self.out.append(wire.refuse(self.number, ref, come_back_in / 1000))
+        if ref in self.handles and self.handles[ref].over:
+            del self.handles[ref]  # it waited for its turn
 
     def abandon(self, ref: int) -> None:
         self.out.append(wire.finish_error(self.number, ref))
@@ -92,7 +94,7 @@
         else:
             tx.begun(now, fields[2])
         if tx.over:
-            del self.handles[fields[1]]
+            self.handles.pop(fields[1], None)
 
     def update(self, now: int, scope: int, lines: bytes) -> None:
         if scope == _FAILED:
--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -311,7 +311,7 @@
                 return tx
         ahead = self.lines.ahead(key) if key else 0
         wait = round(ahead * self.usual[profile])
-        if ahead and tx.end - now <= wait + self.least(tx):
+        if ahead and (coming or tx.end - now <= wait + self.least(tx)):
             self.give_up(tx, wait)  # a popular key's line would grow beyond what can still be served in time
         elif not key or self.lines.join(tx):
             self.send(tx, now)
@@ -552,8 +552,8 @@
         self.port.wake(now + self.beat, 0)
         self.beats += 1
         for tx in self.lines.waiting():
-            if tx.end - now <= self.least(tx):  # unsent at its limit it would have no answer in time
-                self.give_up(tx)
+            if tx.end - now <= tx.home.least(tx):  # unsent at its limit it would have no answer in time
+                tx.home.give_up(tx)
                 tx.end_turn(now)
         for u in self.ready:
             if u.aside:
--- a/dahliabend/net/protocol/callers.py
+++ b/dahliabend/net/protocol/callers.py
@@ -32,7 +32,7 @@
     ) -> tuple[bytes, bytes]: ...  # id and ms it waits
     def take(
         self, caller, profile: int, method: bytes, target: bytes, passed: bytes, body: bytes, *,
-        expires: int, began: int, customer: bytes, again: bool, trace: bytes, upload: Body | None,
+        expires: int, began: int, customer: bytes, again: bool, trace: bytes, upload: Body | None, key: bytes,
     ) -> int: ...  # fmt: skip
     def left(self, number: int) -> None: ...
     def ready(self) -> bool: ...
@@ -230,6 +230,7 @@
             self, profile, method, target, passed, body,
             expires=int(expires) * 1000, began=began, customer=fields.get(wire.CUSTOMER, b""),
             again=fields.get(wire.SECOND_TRY) == b"1", trace=trace, upload=self.upload,
+            key=fields.get(wire.ITEM, b""),
         )  # fmt: skip
 
     def name(self, method: bytes, path: bytes, fields: dict[bytes, bytes]) -> int | None:
--- a/dahliabend/net/protocol/headers.py
+++ b/dahliabend/net/protocol/headers.py
@@ -1,7 +1,7 @@
 """Names on the wire and the headers that a balancer passes on."""
 
 TRACE, EXPIRES, SECOND_TRY = b"x-trace-id", b"x-expires-in-ms", b"x-second-try"
-CUSTOMER = b"x-customer"
+CUSTOMER, ITEM = b"x-customer", b"x-item"  # item: what a request concerns, its key where order is kept
 NEVER_RAN, LOAD = b"x-never-ran", b"endpoint-load-metrics"
 READY, HEALTHY, LOAD_PATH = b"/-/ready", b"/-/healthy", b"/-/load"
 
--- a/dahliabend/net/routing/desk.py
+++ b/dahliabend/net/routing/desk.py
@@ -138,6 +138,7 @@
     def take(
         self, caller, number: int, method: bytes, target: bytes, passed: bytes, body: bytes, *,
         expires: int, began: int, customer: bytes, again: bool, trace: bytes, upload: Body | None = None,
+        key: bytes = b"",
     ) -> int:  # fmt: skip
         routes, now = self.routes, clock()
         choice = routes.choices[number]
@@ -148,11 +149,11 @@
             caller.answer(503, advice, NO_ROOM)
             return -1
         caller.settle = choice.limit.leave
-        key = self.fields.get(choice.split_by, b"") if choice.split_by else b""
-        names = choice.ways(key, self.part_ready)
+        split = self.fields.get(choice.split_by, b"") if choice.split_by else b""
+        names = choice.ways(split, self.part_ready)
         if not self.fields.get(TRACE):
             passed += b"X-Trace-Id: %b\r\n" % trace
-        common = {"expires": expires, "began": began, "customer": customer, "again": again}
+        common = {"expires": expires, "began": began, "customer": customer, "again": again, "key": key}
         if choice.mirror and upload is None and self.chance.random() < choice.mirror_share:
             self.names[choice.mirror].router.take(
                 Silent(caller.profile), routes.profiles[choice.mirror][number], method, target,
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -204,6 +204,8 @@
         self.seats = [seat for seat in self.seats if seat.held]
         self.seat(node)
         self.seats[-1].listed([(u, u.state) for u in self.yard.upstreams.values()], full=True)
+        # Else one of a key could be sent beside another that the ones before still have out.
+        self.balancer.lines.follow(before.lines)
         return self.balancer.follow(before.known(ends=True), self.pairs(profiles))
 
     def pairs(self, before: dict[bytes, int]) -> list[tuple[int, int]]:
@@ -253,7 +255,7 @@
 
     def take(
         self, caller, profile, method, target, passed, body, *,
-        expires, began, customer, again, trace, upload=None, otherwise=None,
+        expires, began, customer, again, trace, upload=None, otherwise=None, key=b"",
     ) -> int:  # fmt: skip
         """`otherwise`, where given, is told in place of its caller of one turned away unseen here and now."""
         if trace in self.traces:
@@ -282,7 +284,7 @@
         seat.held += 1
         ticket.handle = seat.balancer.take(
             ticket.taken, number, profile, self.customers.get(customer, len(self.customers)), deadline,
-            again, upload is not None,
+            again, upload is not None, key,
         )  # fmt: skip
         if upload is not None:
             upload.reader = ticket
@@ -391,6 +393,8 @@
             return ticket.otherwise(ref)
         advice = b"Retry-After: %.3f\r\n" % (come_back_in / 1e6) if come_back_in else b""
         self.answer(ref, "rolled_back", 503, advice, b"rolled back\n")
+        if ticket is not None and ticket.handle is not None and not ticket.hops:
+            self.drop_if_over(ticket)  # it waited for its turn: no hop's end will come for it
 
     def abandon(self, ref: int) -> None:
         self.answer(ref, "abandoned", 502, b"", b"abandoned\n")
@@ -462,6 +466,9 @@
     def stop_by(self, when: int) -> None:
         """From now on transactions are given until then at the most."""
         self.stop_at = when
+        for ticket in self.tickets:
+            if not ticket.hops:  # in line: without a hop nothing would end it when the program does
+                ticket.handle.end = min(ticket.handle.end, when)
         self.deadlines.at(when, self.give_up_all)
 
     def give_up_all(self) -> None:
