Emulator: order for each key checked at the upstreams, drawn in seeds, three planted defects

Rules.in_turn goes by what the wire saw, per key and process: none is sent while another of its key is out or the key rests, and one that came 300 ms before goes first unless it has its answer. A quarter of the seeds carry keys (drawn apart, so the others stay as they were).

--- a/dahliabend/emulator/checks.py
+++ b/dahliabend/emulator/checks.py
@@ -13,6 +13,7 @@
 UNHEARD = 300_000  # how long a caller's leaving may take to be known
 KEPT = 60_000_000  # for which an ended request is remembered
 MOST = 20  # violations kept of a run
+ARRIVING = 300_000  # a request written so much sooner than another has come first
 REFUSED = (429, 503)
 
 
@@ -56,6 +57,7 @@
     began: int = 0  # when an answer's first bytes came
     left: int = 0
     over: bool = False
+    key: str = ""  # of its line, where order is kept
     hops: list[Hop] = field(default_factory=list)
 
 
@@ -73,8 +75,11 @@
 class Rules:
     """Told by the witness; keeps every violation with the step at which it was seen."""
 
-    def __init__(self, kernel: Kernel, witness: Witness, classes: dict[str, Class], grace: int) -> None:
-        self.kernel, self.classes, self.grace = kernel, classes, grace
+    def __init__(
+        self, kernel: Kernel, witness: Witness, classes: dict[str, Class], grace: int, pause: int = 0
+    ) -> None:
+        self.kernel, self.classes, self.grace, self.pause = kernel, classes, grace, pause
+        self.lines: dict[str, list[Request]] = {}  # by key, those that are not over and settled
         self.requests: dict[str, Request] = {}
         self.open: set[str] = set()
         self.over: deque[tuple[int, str]] = deque()  # those that have ended, and when
@@ -102,8 +107,8 @@
             "hops": 0,
         }
         for kind in (
-            "asked", "nobody", "written", "answer", "extra", "began", "cut", "lost", "left", "spoilt",
-            "hop.head", "hop.whole", "unrun", "made", "done", "gave", "torn", "told", "yes",
+            "asked", "keyed", "nobody", "written", "answer", "extra", "began", "cut", "lost", "left",
+            "spoilt", "hop.head", "hop.whole", "unrun", "made", "done", "gave", "torn", "told", "yes",
             "starts", "ended", "stalled", "toppled", "crashed", "exhausted", "unreadable",
         ):  # fmt: skip
             witness.on(kind, getattr(self, kind.replace(".", "_")))
@@ -124,6 +129,12 @@
         else:  # once more on a new connection: the one before was closed unread
             request.connection, request.written = connection, 0
 
+    def keyed(self, trace: str, key: str) -> None:
+        request = self.requests[trace]
+        if not request.key:  # not one asked once more
+            request.key = key
+            self.lines.setdefault(key, []).append(request)
+
     def nobody(self, name: str) -> None:
         """No balancer was there to be asked."""
         self.tally[name][0] += 1
@@ -286,8 +297,52 @@
                 self.broken("two at once", f"{trace}: sent to {upstream} while out at {hop.upstream}")
             if hop.whole and not hop.unrun:
                 self.again(request, hop, upstream, cell, zone, first)
+        if request.key:
+            self.in_turn(request, balancer, upstream, first)
         request.hops.append(Hop(upstream, balancer, connection, now, cell, zone))
 
+    def in_turn(self, request: Request, balancer: str, upstream: str, first: int) -> None:
+        """Order, as upstreams see it: of one key and process one is out at a time, as they came, and after a
+        hop that may go on there the next waits for the pause."""
+        line = self.lines[request.key] = [r for r in self.lines[request.key] if not self.settled(r)]
+        for other in line:
+            if other is request:
+                continue
+            for hop in other.hops:
+                if hop.balancer != balancer or hop.done:
+                    continue
+                if not self.ended_hop(hop):
+                    self.broken("order", f"{request.trace}: sent to {upstream} while {other.trace} is out")
+                elif hop.whole and first < self.closed(hop) + self.pause:
+                    self.broken("order", f"{request.trace}: sent to {upstream}, {request.key} still rests")
+            if self.overtaken(other, request, balancer):
+                # Its own answer may be under way: an early rollback may come out of turn.
+                self.kernel.at(self.kernel.now + SLACK, None, self.overtook, request, other, upstream)
+
+    def overtaken(self, other: Request, request: Request, balancer: str) -> bool:
+        waits = other.written and not (other.over or other.hops or request.hops)
+        if not waits or other.written + ARRIVING > request.written:
+            return False
+        stalls = self.stalls.get(balancer.partition("/")[0], ())
+        taken = getattr(self.connections.get(other.connection), "peer", None)
+        here = taken is not None and taken.sock is not None and self.server(other) == balancer
+        return here and not any(end > other.written for _, end in stalls)
+
+    def overtook(self, request: Request, other: Request, upstream: str) -> None:
+        if not other.over:
+            self.broken("order", f"{request.trace}: sent to {upstream} before {other.trace}")
+
+    def closed(self, hop: Hop) -> int:
+        """When the balancer gave it up, where it did."""
+        end = self.connections.get(hop.connection)
+        return end.closed_at if end is not None else 0
+
+    def settled(self, request: Request) -> bool:
+        return request.over and all(
+            hop.done or self.ended_hop(hop) and self.closed(hop) + self.pause <= self.kernel.now
+            for hop in request.hops
+        )
+
     def ended_hop(self, hop: Hop) -> bool:
         end = self.connections.get(hop.connection)  # forgotten: both ends have long been closed
         return end is None or bool(
--- a/dahliabend/emulator/peers/clients.py
+++ b/dahliabend/emulator/peers/clients.py
@@ -24,6 +24,7 @@
     path: str = ""  # where it is not the name
     method: str = ""
     headers: tuple[tuple[str, str], ...] = ()
+    key: str = ""  # what it concerns, where order is kept among those of one
     again: int = 0  # which try this is
     tries: int = 1
     leaves_after: int = 0  # microseconds; 0: it stays
@@ -41,6 +42,8 @@
         )  # fmt: skip
         for name, value in self.headers:
             head += f"{name}: {value}\r\n".encode()
+        if self.key:
+            head += f"X-Item: {self.key}\r\n".encode()
         if self.again:
             head += b"X-Second-Try: 1\r\n"
         if self.body or method == b"POST":
@@ -146,6 +149,8 @@
         self.used += 1
         self.fresh()
         clients.witness("asked", ask.trace, ask.name, self.number, ask.expires)
+        if ask.key:
+            clients.witness("keyed", ask.trace, ask.key)
         if ask.leaves_after:
             self.leaving = loop.call_later(ask.leaves_after / 1e6, self.leave)
         message = ask.message()
--- a/dahliabend/emulator/script.py
+++ b/dahliabend/emulator/script.py
@@ -74,6 +74,7 @@
     advises: bool = True
     sockets: int = 256  # descriptors of a balancer
     conn_idle: Span = Span(2 * S)
+    order_pause: Span = Span(0)  # a key's rest after a hop that may go on, where journalled ones carry keys
     shared: bool = False  # the platform holds the listener, and processes share a folder
     admin: bool = True
     delay: Span = Span(250)
@@ -101,6 +102,7 @@
     fresh: float = 0.1  # on a new connection although one is open
     long_bodies: float = 0.0
     long_answers: float = 0.0
+    keys: int = 0  # so many that journalled ones carry, and are kept in order by; 0: none
 
 
 class Fault(_Table):
@@ -254,6 +256,10 @@
         long_answers=pick((0.0, 0.0, 0.05)),
     )
     faults = [_fault(chance, world, kinds) for _ in range(pick((1, 1, 2, 2, 3)))]
+    order = Random(f"order {seed}")  # apart: what else a seed draws stays as it was
+    if order.random() < 0.25:
+        world.order_pause = Span(order.choice((20, 100)) * MS)
+        load.keys, load.marked = order.choice((1, 3, 8)), 0.4
     made = Scenario(seed=seed, world=world, load=load, faults=[f for each in faults for f in each])
     check(made)
     return made
--- a/dahliabend/emulator/world.py
+++ b/dahliabend/emulator/world.py
@@ -266,7 +266,7 @@
             "mark": Class("mark", "deduplicated", self.load.group, WINDOW, limit, goal, 2.0),
             "late": Class("late", "idempotent", "all", 0, limit, goal, 1.0),
         }
-        self.rules = Rules(self.kernel, self.witness, classes, spec.grace)
+        self.rules = Rules(self.kernel, self.witness, classes, spec.grace, spec.order_pause)
         self.network.tap, self.network.note = self.listen_in, self.witness
         self.taps: dict[tuple[str, int], str] = {}
         self.places()
@@ -312,13 +312,15 @@
             "profiles": [
                 profile("query", "idempotent", 1.0),
                 profile("submit", "at_most_once", 10.0),
-                profile("mark", "deduplicated", 2.0, group=load.group, **{"dedup-window": WINDOW / 1000}),
+                profile("mark", "deduplicated", 2.0, group=load.group,
+                        **{"dedup-window": WINDOW / 1000, "in-order": load.keys > 0}),
             ],
             "caps": {"most-hops": spec.hops, "may-cancel": spec.may_cancel, "probing": spec.may_probe,
                      "retry-after": spec.advises, "max-retry-after": 3000.0,
                      "conn-idle": spec.conn_idle / 1000, "dial-timeout": 75.0},
             "contract": {"cold-share": spec.cold_share, "cold": spec.cold / 1000,
-                         "fall-multiple": spec.fall_multiple, "answer-slack": 20.0},
+                         "fall-multiple": spec.fall_multiple, "answer-slack": 20.0,
+                         "order-pause": spec.order_pause / 1000},
         }  # fmt: skip
 
     def build(self) -> None:
@@ -414,6 +416,8 @@
                 ask.body = b"y" * BODY
         if chance.random() < load.long_answers:
             ask.target = b"?long"
+        if name == "mark" and load.keys:
+            ask.key = f"k{chance.randrange(load.keys)}"
         if chance.random() < load.leave:
             ask.leaves_after = 1 + int(chance.random() * expires)
         if chance.random() < load.trickle:
--- a/tests/emulator/defects.py
+++ b/tests/emulator/defects.py
@@ -26,6 +26,7 @@
 from dahliabend.net.transport.descriptors import Descriptors
 from dahliabend.net.transport.listener import Listener
 from dahliabend.net.transport.slots import Slots
+from dahliabend.order import Lines
 
 S = 1_000_000
 
@@ -254,11 +255,30 @@
     return instead(Seat, "listed", listed)
 
 
+def leave_out_the_rest():
+    return instead(Lines, "unsure", lambda self, tx, now: None)
+
+
+def forget_the_line_at_a_time_out():
+    return instead(Lines, "unsure", lambda self, tx, now: self.lines.pop(tx.key, None))
+
+
+def last_come_first_served():
+    def ahead(self, key):
+        self.lines.get(key) and self.lines[key].__dict__.update(turn=None, until=0)
+        return 0
+
+    return instead(Lines, "ahead", ahead)
+
+
 DEFECTS = {
+    "a key's rest left out": Defect(leave_out_the_rest, ("order",)),
+    "a key's line forgotten at a time-out": Defect(forget_the_line_at_a_time_out, ("order",)),
+    "a key's turns not waited for": Defect(last_come_first_served, ("order",)),
     "answer twice": Defect(answer_twice, ("one answer",)),
     "resend of what may have run": Defect(resend_what_may_have_run, ("no effect twice",)),
     "those that drain are used": Defect(use_those_that_drain, ("drain",)),
-    "no budget for cold ones": Defect(no_cold_budget, ("cold",), ("crash", "restart", "crowd"), 60),
+    "no budget for cold ones": Defect(no_cold_budget, ("cold",), ("crash", "restart", "crowd"), 190),
     "a leaked descriptor": Defect(keep_a_descriptor, ("left behind", "descriptors")),
     "a leaked slot": Defect(keep_a_slot, ("left behind",)),
     "a leaked deadline": Defect(keep_a_deadline, ("left behind",)),
--- a/tests/emulator/test_checks.py
+++ b/tests/emulator/test_checks.py
@@ -149,3 +149,33 @@
     told = Told().asked()("answer", "t", 503, b"").after(120 * S)
     told("asked", "u", "query", 1, S)("answer", "u", 503, b"")
     assert set(told.rules.requests) == {"u"}
+
+
+def two_of_a_key(told, pause=100_000):
+    told.rules.pause = pause
+    for trace, connection in (("t", 1), ("u", 8)):
+        told("asked", trace, "mark", connection, S)("keyed", trace, "k")("written", trace)
+    told.hop()
+    return told
+
+
+def second(told):
+    return told("hop.head", "u", "b0/1", "s-0", 3, told.kernel.now)
+
+
+@pytest.mark.parametrize("wait, broken", [(0, ["order"]), (99_999, ["order"]), (100_000, [])])
+def test_the_next_of_a_key_waits_for_the_hop_out_and_for_the_rest(wait, broken):
+    assert second(two_of_a_key(Told()).after(1).ended().after(wait)).broken == broken
+    assert second(two_of_a_key(Told()).after(1)).broken == ["order"]
+    assert second(two_of_a_key(Told()).after(1)("done", "t", "s-0", 2, 200)).broken == []
+
+
+def test_one_that_came_long_before_goes_first_unless_its_answer_is_under_way():
+    for answered, broken in ((False, ["order"]), (True, [])):
+        told = Told()
+        for trace, connection in (("t", 1), ("u", 8)):
+            told("asked", trace, "mark", connection, S)("keyed", trace, "k")("written", trace).after(400_000)
+        second(told).after(1_000)
+        if answered:
+            told("answer", "t", 503, b"")
+        assert told.after(SLACK).broken == broken
--- /dev/null
+++ b/tests/test_order_net.py
@@ -0,0 +1,86 @@
+"""Order for each key, over sockets: one of a key at an upstream at a time, through a switch and an end."""
+
+import copy
+import signal
+from queue import Queue
+
+from helpers import CONF, PATIENCE, Caller, Upstream, answer, logged, program, replace
+
+ORDERED = copy.deepcopy(CONF)
+ORDERED["profiles"].append(
+    {"name": "amend", "service-goal": 1000.0, "hard-limit": 3000.0, "semantics": "deduplicated",
+     "dedup-window": 4000.0, "in-order": True}
+)  # fmt: skip
+ORDERED["contract"]["order-pause"] = 100.0
+
+
+class Held:
+    """An upstream that answers each request once it is let go on."""
+
+    def __init__(self):
+        self.gates = Queue()
+        self.upstream = Upstream(self.play)
+
+    def play(self, conn, request):
+        return self.gates.get(timeout=PATIENCE)(conn)
+
+    def came(self):
+        return self.upstream.came.get(timeout=PATIENCE)[1]["x-trace-id"]
+
+    def go_on(self):
+        self.gates.put(lambda conn: conn.sendall(answer()) is None)
+
+
+def amend(address, trace, key="9", **more):
+    caller = Caller(address)
+    caller.send("amend", "POST", trace=trace, extra=f"X-Item: {key}\r\n", **more)
+    return caller
+
+
+def test_one_of_a_key_is_sent_at_a_time_also_across_a_switch_of_settings():
+    held = Held()
+    with program(held.upstream, conf=ORDERED) as (address, process, _):
+        first = amend(address, "a")
+        assert held.came() == "a"
+        second, other = amend(address, "b"), amend(address, "c", key="8")
+        assert held.came() == "c"
+        changed = copy.deepcopy(process.conf["settings"])
+        changed["caps"]["most-hops"] = 3
+        replace(process, settings=changed)
+        logged(process, "reloaded")
+        third = amend(address, "d")
+        other2 = amend(address, "e", key="7")
+        assert held.came() == "e"  # those of key 9 wait, before the switch and after it
+        for _ in range(3):
+            held.go_on()
+        assert {caller.read()[0] for caller in (first, other, other2)} == {200}
+        assert held.came() == "b"
+        held.go_on()
+        assert second.read()[0] == 200 and held.came() == "d"
+        held.go_on()
+        assert third.read()[0] == 200
+
+
+def test_one_whose_limit_comes_in_line_is_answered_and_leaves_nothing_open():
+    held = Held()
+    with program(held.upstream, conf=ORDERED) as (address, _, _):
+        first = amend(address, "a")
+        assert held.came() == "a"
+        second = amend(address, "b", expires="1000")
+        status, headers, _ = second.read()
+        assert status == 503 and float(headers["retry-after"]) > 0
+        again = amend(address, "b", key="8")  # its id is free once more
+        assert held.came() == "b"
+        held.go_on(), held.go_on()
+        assert first.read()[0] == again.read()[0] == 200
+
+
+def test_sigterm_leaves_nothing_in_line_unanswered():
+    held = Held()
+    with program(held.upstream, conf=ORDERED) as (address, process, _):
+        first = amend(address, "a")
+        assert held.came() == "a"
+        second = amend(address, "b", expires="60000")
+        process.send_signal(signal.SIGTERM)
+        assert first.read()[0] in (502, 503) and second.read()[0] == 503
+        assert process.wait(PATIENCE) == 0
