--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -53,8 +53,7 @@
         self.replaced = self.opened = self.tried = self.bad = 0
 
     def share(self, now: int) -> float:
-        """The metric while it is valid."""
-        return self.metric if now < self.until else 0.0
+        return self.metric if now < self.until else 0.0  # it is valid for a while
 
     def close(self, now: int, floor: int, validity: int, adds: bool = False) -> None:
         if now >= self.until:
@@ -534,11 +533,13 @@
             self.narrow()
 
     def probed(self, now: int, index: int, outcome: Outcome) -> None:
-        if u := self.upstreams.get(index):  # not gone meanwhile
+        if u := self.upstreams.get(index):
             u.sounding = False
-            if u.aside and outcome is Outcome.COMMITTED and self.may_try and u.strikes > 1:
+            if u.aside and outcome is not Outcome.COMMITTED:
+                u.since, u.strikes = now, u.strikes + 1  # probed at each beat by all, probes are load too
+            elif u.aside and self.may_try and u.strikes > 1:
                 self.trials[u] = None
-            elif u.aside and outcome is Outcome.COMMITTED:
+            elif u.aside:
                 self.bring_back(u, now)
 
     def bring_back(self, u: Upstream, now: int) -> None:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -234,8 +234,14 @@
     assert port.of("send")[1][2] != u.index
     made.probed(T + 3 * S, u.index, Outcome.TIMED_OUT)
     assert u.aside
-    made.probed(T + 4 * S, u.index, Outcome.COMMITTED)
-    assert not u.aside
+    port.clear()
+    for beats, probes in ((3, 0), (4, 1)):  # a probe that fails doubles the wait for the next
+        made.woken(T + 3 * S + beats * made.beat, 0)
+        assert len(port.of("probe")) == probes
+    made.probed(T + 5 * S, u.index, Outcome.COMMITTED)
+    made.usual[0] = S
+    taken(made, 0, now=T + 5 * S, ref=9).returned(T + 6 * S, 0, Outcome.COMMITTED, S, True)
+    assert not u.aside and u.strikes == 0
 
 
 def test_without_probes_one_hop_that_may_run_again_tries_what_was_set_aside():
