--- /dev/null
+++ b/experiments/keys.py
@@ -0,0 +1,53 @@
+"""Memory of a balancer over a million keys in order: `python experiments/keys.py`.
+
+200 transactions are out at a time, each of a key of its own or of one of 20 popular ones; a third end in a time-out, reset
+or cancel. Prints what is traced after each 100,000, in KiB, and how many lines and rests are kept then.
+"""
+
+import sys
+import tracemalloc
+from collections import deque
+from pathlib import Path
+from random import Random
+
+root = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(root), str(root / "tests")]
+
+from helpers import FREE, MARKED, MS, S, balancer  # noqa: E402
+
+from dahliabend.model import Outcome  # noqa: E402
+from dahliabend.order import REST  # noqa: E402
+
+KEYS, OUT = 1_000_000, 200
+UNSURE = (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)
+
+
+def main() -> None:
+    from dataclasses import replace
+
+    made, port = balancer(profiles=(replace(MARKED, in_order=True), FREE), order_pause=100 * MS, most_hops=1)
+    made.ceiling = 1e9  # the crowd is not what is looked at
+    chance, now, out = Random(1), 100 * S, deque()
+    tracemalloc.start()
+    for number in range(1, KEYS + 1):
+        now += MS
+        key = chance.randrange(1, 21) if number % 10 == 0 else 1_000 + number
+        tx = made.take(now, number, 0, 0, now + 5 * S, key=key)
+        if not tx.over:
+            out.append(tx)
+        while len(out) > OUT:
+            tx = out.popleft()
+            if tx.out:
+                outcome = chance.choice(UNSURE) if chance.random() < 1 / 3 else Outcome.COMMITTED
+                tx.returned(now, 0, outcome, MS, outcome is Outcome.COMMITTED)
+            elif not tx.over:
+                tx.left(now)
+        made.woken(now, REST)
+        port.clear()
+        if number % 100_000 == 0:
+            kept = tracemalloc.get_traced_memory()[0] // 1024
+            print(f"{number:9,} keys: {kept:6,} KiB, {len(made.lines.lines)} lines, {len(made.lines.rests)} rests")
+
+
+if __name__ == "__main__":
+    main()
