A quiet balancer's last percents end as soon as a busy one's; one bad hop of a floor is none

Change: Entry.close counts the linger by the shortest validity, and a metric of one step or less is none.

--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -55,7 +55,7 @@
     def share(self, now: int) -> float:
         return self.metric if now < self.until else 0.0  # it is valid for a while
 
-    def close(self, now: int, floor: int, validity: int, adds: bool = False) -> None:
+    def close(self, now: int, floor: int, validity: int, span: int, adds: bool = False) -> None:
         if now >= self.until:
             self.metric = 0.0  # lapsed unrenewed
         if self.tried < floor and now - self.opened < validity:
@@ -64,8 +64,8 @@
             seen = self.bad / self.tried if self.tried >= floor else 0.0
             # Throttling thins the traffic read here: dropped at one clean window, load would return in waves.
             new = max(min(1.0, self.metric + seen * EASE) if adds else seen, self.metric * EASE)
-            if abs(new - self.metric) >= STEP or not seen and now - self.replaced >= LINGER * validity:
-                self.metric = new if new >= STEP else 0.0
+            if abs(new - self.metric) >= STEP or not seen and now - self.replaced >= LINGER * span:
+                self.metric = new if new > STEP else 0.0
                 self.replaced = now
             self.until = now + validity
         self.tried = self.bad = 0
@@ -599,11 +599,11 @@
         self.served, self.held_back, self.weighed = 0, False, now
 
     def close_window(self, now: int) -> None:
-        self.tier.close(now, self.floor(now - self.tier.opened), self.validity)
-        self.home.close(now, FLOOR, self.validity, adds=True)
-        self.rested.close(now, TIER_FLOOR, LINGER * self.validity)
+        self.tier.close(now, self.floor(now - self.tier.opened), self.validity, self.span)
+        self.home.close(now, FLOOR, self.validity, self.span, adds=True)
+        self.rested.close(now, TIER_FLOOR, LINGER * self.validity, LINGER * self.validity)
         for kind in self.kinds:
-            kind.close(now, TIER_FLOOR // 2, self.validity)
+            kind.close(now, TIER_FLOOR // 2, self.validity, self.span)
         clean = any(kind.until > now and kind.metric < UNWELL / 2 for kind in self.kinds)
         self.drags = [clean and kind.share(now) >= 1 - UNWELL for kind in self.kinds]
         # What has not answered for as long as a start takes has nothing to speak for it but an old list.
@@ -614,7 +614,7 @@
         some_warm = any(now - u.born >= self.cold_time for u in self.ready)
         for u in self.ready:
             for entry in u.entries:
-                entry.close(now, FLOOR, self.validity)
+                entry.close(now, FLOOR, self.validity, self.span)
             own = u.entries[-1].metric
             if own >= UNWELL and self.tier.metric < own / 2:
                 self.set_aside(u, now)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -133,7 +133,7 @@
 def window(tried, bad, now, entry=None, floor=20):
     entry = entry or Entry()
     entry.tried, entry.bad = tried, bad
-    entry.close(now, floor, 5 * S)
+    entry.close(now, floor, 5 * S, 5 * S)
     return entry
 
 
@@ -156,6 +156,15 @@
     assert entry.metric == 0
 
 
+def test_a_quiet_balancers_last_percents_end_as_soon_and_one_bad_hop_of_a_floor_is_none():
+    entry = Entry()
+    for now, tried, bad, metric in ((0, 100, 8, 0.08), (19, 20, 0, 0.08), (20, 20, 0, 0.0)):
+        entry.tried, entry.bad = tried, bad
+        entry.close(now * S, TIER_FLOOR, 20 * S, 5 * S)  # valid for 20 s, the shortest validity is 5 s
+        assert abs(entry.metric - metric) < 1e-9, now
+    assert window(20, 1, 60 * S).metric == 0
+
+
 def test_finest_valid_entry_governs():
     made, _ = balancer()
     u = made.upstreams[0]
@@ -441,7 +450,7 @@
     entry, shares = Entry(), []
     for now, bad in enumerate((5, 5, 2, -1, -5), 1):
         entry.tried, entry.bad = 5, bad
-        entry.close(now * S, 5, 10 * S, adds=True)
+        entry.close(now * S, 5, 10 * S, 10 * S, adds=True)
         shares.append(round(entry.metric, 2))
     assert shares == [0.5, 1.0, 1.0, 0.9, 0.45]
 
