What only the list has lost keeps its place on sockets; waits without probes as before

Cause, from a read-through: where only draining binds the decisions keep an upstream that the list has lost, and the router forgot it: the next hop to it would have ended in a KeyError. Where probes are not allowed the wait between tries had grown with the long validity. A try of a profile that drags could not bring its upstream back.

--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -493,6 +493,10 @@
         # One profile that drags everywhere, by what it waits for, is no upstream's fault, and no crowd.
         kind = self.kinds[tx.profile]
         kind.tried, kind.bad = kind.tried + 1, kind.bad + (bad and not outcome.proves_unrun)
+        if u.aside and now - took > u.since and not (bad and self.drags[tx.profile]):
+            u.since, u.strikes = now, u.strikes + bad  # a try; what was sent before says nothing new
+            if not bad:
+                self.bring_back(u, now)
         if self.drags[tx.profile]:
             return
         # One slow or silent upstream is hardly a crowd, and throttling the tier would not mend it.
@@ -517,10 +521,6 @@
         if tx.hops[0].upstream is u:
             self.tier.tried += 1
             self.tier.bad += bad and (self.pressed or outcome.proves_unrun)
-        if u.aside and now - took > u.since:  # a try; what was sent before says nothing new
-            u.since, u.strikes = now, u.strikes + bad
-            if not bad:
-                self.bring_back(u, now)
         # One that takes no new connection but answers on open ones is full: set aside, those would close too.
         if outcome is Outcome.UNREACHABLE and now - u.answered >= self.validity:
             self.set_aside(u, now)
@@ -558,8 +558,8 @@
                 tx.end_turn(now)
         for u in self.ready:
             if u.aside:
-                least = self.beat if self.may_probe else max(self.validity, self.span)
-                waited, wait = now - u.since, least << min(u.strikes, 6)
+                waited, times = now - u.since, min(u.strikes, 6)
+                wait = self.beat << times if self.may_probe else max(self.validity, self.span << times)
                 if waited >= wait and self.may_probe and not u.sounding:
                     u.sounding = True
                     self.port.probe(u.index)
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -332,7 +332,9 @@
             if state is State.GONE and name not in self.yard.indices:
                 continue
             upstream = self.yard.find(name)
-            upstream.state, upstream.weight, upstream.cell, upstream.zone = state, weight, cell, zone
+            if not (state is State.GONE and self.balancer.drain_alone and upstream.state is State.READY):
+                upstream.state = state
+            upstream.weight, upstream.cell, upstream.zone = weight, cell, zone
             upstream.born = (started * 1000 + self.epoch or 1) if started else 0
             if state is not State.GONE:
                 upstream.move(address)
@@ -340,9 +342,9 @@
             told.append((upstream, state))
         for seat in self.seats:  # also those that only end what they have: a drain holds for their hops too
             seat.listed(told, full)
-        states = {upstream.index: state for upstream, state in told}
         for index in tuple(self.yard.upstreams):
-            if states.get(index, State.GONE if full else None) is State.GONE:
+            # Where only draining binds, the decisions keep some that the list has lost, to be sent to.
+            if not any(index in seat.balancer.upstreams for seat in self.seats):
                 self.yard.forget(index)
 
     def admit(self, upstream: Upstream) -> None:
--- a/tests/test_order_net.py
+++ b/tests/test_order_net.py
@@ -2,7 +2,7 @@
 
 import copy
 import signal
-from queue import Queue
+from queue import Empty, Queue
 
 from helpers import CONF, PATIENCE, Caller, Upstream, answer, logged, program, replace
 
@@ -22,7 +22,10 @@
         self.upstream = Upstream(self.play)
 
     def play(self, conn, request):
-        return self.gates.get(timeout=PATIENCE)(conn)
+        try:
+            return self.gates.get(timeout=PATIENCE)(conn)
+        except Empty:
+            return False  # the test is over
 
     def came(self):
         return self.upstream.came.get(timeout=PATIENCE)[1]["x-trace-id"]
