One set aside that nothing comes by to try is brought back by its second probe

Cause (test of a pool that is down, run whole before landing): all of a pool's upstreams were set aside, their probes failed through the outage, and then a hop was wanted to bring them back, but the fallback had everything, so none ever came: out for good, against the house terms. Ruled out: the waits alone (at most 8 s here; the pool stayed away 30 s and more). Change: a second good probe without a try in between brings it back; waits between probes end at 32 beats in place of 64. tests/test_decide.py has the case; fakes of two tests of the router know what the decisions hold. 428 passed.

--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -537,8 +537,8 @@
             u.sounding = False
             if u.aside and outcome is not Outcome.COMMITTED:
                 u.since, u.strikes = now, u.strikes + 1  # probed at each beat by all, probes are load too
-            elif u.aside and self.may_try and u.strikes > 1:
-                self.trials[u] = None
+            elif u.aside and self.may_try and u.strikes > 1 and u not in self.trials:
+                self.trials[u] = None  # found so again, and untried: back as it is, not out for good
             elif u.aside:
                 self.bring_back(u, now)
 
@@ -558,7 +558,7 @@
                 tx.end_turn(now)
         for u in self.ready:
             if u.aside:
-                waited, times = now - u.since, min(u.strikes, 6)
+                waited, times = now - u.since, min(u.strikes, 5 if self.may_probe else 6)
                 wait = self.beat << times if self.may_probe else max(self.validity, self.span << times)
                 if waited >= wait and self.may_probe and not u.sounding:
                     u.sounding = True
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -710,6 +710,17 @@
     assert not u.aside and u.strikes == 0
 
 
+def test_one_that_nothing_comes_by_to_try_is_brought_back_by_its_second_probe():
+    made, _ = balancer(upstreams=2)
+    u = made.upstreams[0]
+    made.set_aside(u, T)
+    made.probed(T, 0, Outcome.TIMED_OUT)
+    made.probed(T + S, 0, Outcome.COMMITTED)
+    assert u.aside
+    made.probed(T + 2 * S, 0, Outcome.COMMITTED)
+    assert not u.aside
+
+
 def row(index, state=State.READY):
     return (index, state, 0, 1.0, 0, 0, b"%d" % index)
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -221,11 +221,14 @@
 
 def test_an_upstream_that_has_gone_gives_its_place_and_its_connections_back():
     class Told(Notes):
+        balancer = SimpleNamespace(drain_alone=False)
+
         def listed(self, rows, full):
             self[:] = [(u.index, u.name) for u, _ in rows]
+            self.balancer.upstreams = {u.index for u, state in rows if state is not State.GONE}
 
     told, all_of = Told(), yard()
-    desk = SimpleNamespace(yard=all_of, epoch=0, seats=[told], excluded=set())
+    desk = SimpleNamespace(yard=all_of, epoch=0, seats=[told], excluded=set(), balancer=told.balancer)
     desk.admit = lambda upstream: Router.admit(desk, upstream)
     row = ("s-1", ("127.0.0.1", 1), State.READY, 0, 1.0, 0, "a")
     Router.listed(desk, [row], True)
@@ -426,9 +429,12 @@
 def test_what_an_operator_put_back_counts_as_just_started_until_the_list_knows_better():
     told, all_of = [], yard()
     seat = SimpleNamespace(
-        zones={}, balancer=SimpleNamespace(listed=lambda now, rows, full: told.append(rows[0]))
+        zones={},
+        balancer=SimpleNamespace(
+            listed=lambda now, rows, full: told.append(rows[0]), upstreams=all_of.upstreams, drain_alone=False
+        ),
     )
-    desk = SimpleNamespace(yard=all_of, epoch=0, seats=[seat], excluded=set())
+    desk = SimpleNamespace(yard=all_of, epoch=0, seats=[seat], excluded=set(), balancer=seat.balancer)
     seat.router, seat.listed = desk, lambda rows, full: Seat.listed(seat, rows, full)
     desk.admit = lambda upstream: Router.admit(desk, upstream)
     row = ["s-1", ("127.0.0.1", 1), State.READY, 5, 1.0, 0, "a"]
