--- /dev/null
+++ b/tests/members/conftest.py
@@ -0,0 +1,6 @@
+"""Lets the tests here find `town`."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent))
