--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -750,3 +750,15 @@
     bound, _ = balancer(upstreams=2)
     bound.listed(T, [row(1, State.GONE)], full=False)
     assert set(bound.upstreams) == {0}
+
+
+def test_where_a_late_answer_is_worth_nothing_a_hop_leaves_time_for_another_and_never_are_two_out():
+    quote = Profile(Effect.IDEMPOTENT, Group.ALL, 0, 600 * MS, 1_500 * MS, 1.0, 0.0)
+    made, port = balancer(profiles=(quote,), most_hops=6)
+    made.usual[0] = 30 * MS
+    tx = made.take(T, 1, 0, 0, T + 1_500 * MS)
+    assert port.of("send")[0][3] == 300 * MS  # half of what it may take at all
+    tx.returned(T + 300 * MS, 0, Outcome.TIMED_OUT, 300 * MS, False)
+    assert [note[3] for note in port.of("send")] == [300 * MS, 300 * MS] and tx.out == 1
+    tx.returned(T + 600 * MS, 1, Outcome.TIMED_OUT, 300 * MS, False)
+    assert tx.over and len(port.of("send")) == 2
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -125,3 +125,22 @@
     play(host, frame(spawn(), CENSUS, CACHED))
     host.instances[3].balancer.take = None
     assert b"TypeError" in play(host, frame(job(5)))[0]
+
+
+def test_no_load_report_true_or_untrue_changes_what_is_done():
+    def replies(load):
+        host, got = Host(), []
+        play(host, frame(CENSUS, spawn(), CACHED))
+        for ref in range(1, 60):
+            reply = play(host, frame(job(ref), clock=100.0 + ref))[0]
+            got.append(reply)
+            at = reply.index(pack(">BI", 26, 26)) + 5 + 4 + 8
+            took = 40.0 if ref % 3 else 400.0
+            fields = pack(">IQHdBB6sBff", 3, ref, 0, took, 1, 1, reply[at : at + 6], 2, *load)
+            returned = pack(">BI", wire.RETURNED, len(fields)) + fields
+            got += play(host, frame(returned, clock=100.5 + ref))
+        return got
+
+    stuck = replies((1.0, 0.1))
+    for load in ((0.0, 0.0), (0.4, 0.05), (900.0, 1.0)):  # nothing, too little, full while it is not
+        assert replies(load) == stuck
