Read-through: one way to trade tables, one span for losses at once, a check without its idle half

members: the whole table was sent for theirs in four places, the span of a loss at once reckoned in two; one piece each. A test's condition held an alternative that the other implied; the stricter one alone stays. The planted defect of a key's turns says plainly what it does.

--- a/dahliabend/members/machine.py
+++ b/dahliabend/members/machine.py
@@ -33,6 +33,11 @@
     forget: int = 3_600_000_000  # the dead are forgotten after that
     cut: float = 1 / 3  # of the members, lost within the longest suspicion: this may be a part cut off
 
+    @property
+    def at_once(self) -> int:
+        """The longest suspicion of a small fleet: what is lost within it counts as lost at once."""
+        return round(self.least * self.longest * self.period)
+
 
 @dataclass(slots=True)
 class Member:
@@ -103,7 +108,7 @@
         self.beat = self.due = now + self.chance.randrange(self.terms.period)
         self.tell(self.me)
         for seed in self.seeds:
-            self.send(seed, Whole(True), self.table())
+            self.trade(seed)
 
     def leave(self, now: int) -> None:
         """Spreads that it goes; the process may end a period later."""
@@ -232,10 +237,10 @@
         here = self.here()
         names = self.sample(here, 1) + self.sample([name for name in self.members if name not in here], 1)
         for name in names:
-            self.send(self.members[name].rumour.address, Whole(True), self.table())
+            self.trade(self.members[name].rumour.address)
         known = {member.rumour.address for member in self.members.values()}
         for seed in self.sample([seed for seed in self.seeds if seed not in known], 1):
-            self.send(seed, Whole(True), self.table())
+            self.trade(seed)
         if not here:
             self.knock()
 
@@ -243,7 +248,7 @@
         """With nobody left: the seeds, and those thought dead, which may think the same of this one."""
         places = self.seeds + [m.rumour.address for m in self.members.values()]
         for place in self.sample(places, self.terms.others):
-            self.send(place, Whole(True), self.table())
+            self.trade(place)
 
     # What is known.
 
@@ -293,8 +298,7 @@
         if rumour.standing is Standing.SUSPECT:
             made.until, made.accusers = now, {rumour.by}
         if was in HERE and rumour.standing is Standing.DEAD:
-            span = round(self.terms.least * self.terms.longest * self.terms.period)
-            self.lost = [*(at for at in self.lost if at > now - span), now]
+            self.lost = [*(at for at in self.lost if at > now - self.terms.at_once), now]
         if was is None or was is not rumour.standing:
             self.version += 1
         if what:
@@ -317,8 +321,7 @@
     def view(self, now: int) -> View:
         here = [m.rumour for m in self.members.values() if m.rumour.standing in HERE]
         stable = all(r.standing is Standing.ALIVE for r in here)
-        span = round(self.terms.least * self.terms.longest * self.terms.period)
-        lost = sum(at > now - span for at in self.lost)
+        lost = sum(at > now - self.terms.at_once for at in self.lost)
         cut = lost > self.terms.cut * (len(here) + 1 + lost)
         return View(self.version, tuple(sorted([*here, self.me], key=by_name)), stable, cut, now - self.heard)
 
@@ -337,6 +340,10 @@
         self.chance.shuffle(others)
         return [self.me, *asked, *others]
 
+    def trade(self, address: str) -> None:
+        """Its whole table for theirs."""
+        self.send(address, Whole(True), self.table())
+
     def tell(self, rumour: Rumour) -> None:
         self.news[rumour.name] = rumour, 0
 
--- a/experiments/keys.py
+++ b/experiments/keys.py
@@ -7,6 +7,7 @@
 import sys
 import tracemalloc
 from collections import deque
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 
@@ -23,8 +24,6 @@
 
 
 def main() -> None:
-    from dataclasses import replace
-
     made, port = balancer(profiles=(replace(MARKED, in_order=True), FREE), order_pause=100 * MS, most_hops=1)
     made.ceiling = 1e9  # the crowd is not what is looked at
     chance, now, out = Random(1), 100 * S, deque()
--- a/tests/emulator/defects.py
+++ b/tests/emulator/defects.py
@@ -265,7 +265,8 @@
 
 def last_come_first_served():
     def ahead(self, key):
-        self.lines.get(key) and self.lines[key].__dict__.update(turn=None, until=0)
+        if line := self.lines.get(key):
+            line.turn, line.until = None, 0
         return 0
 
     return instead(Lines, "ahead", ahead)
--- a/tests/members/test_machine.py
+++ b/tests/members/test_machine.py
@@ -40,9 +40,7 @@
     town = Town(5).run(10 * S)
     town.cut = {("b1", f"b{n}") for n in range(5)}
     town.run(60 * S)
-    assert town.agree({"b0", "b2", "b3", "b4"} - {"b1"}) or all(
-        "b1" not in town.sees(f"b{n}") for n in (0, 2, 3, 4)
-    )
+    assert all("b1" not in town.sees(f"b{n}") for n in (0, 2, 3, 4))
     town.cut = set()
     assert town.run(60 * S).agree()
 
