Members on sockets: sealed datagrams, [members] in the file, the door, hand-over, nobody dead by hearsay

Causes, from the time lines: a death was taken over from whoever told it, so after a cut one side's word killed those whom this side had reached all along; and one other was asked a period before burying, whose answer held the whole table in no order, with the one asked about often left out. Change: each instance buries by its own clock, a told death counts as confirmation; three are asked, and answer first of whom they are asked. Reachability is a relation that each tells of itself (`cannot`); one that more than half can't reach is `unreached`. One that wakes asks before it claims. A life that is behind one known in its place moves on (clock set back). Serials drop what comes again. Settled and latest view, mark, confidence. Around it: HMAC by cryptography (optional group members), two keys; seeds by list, watched file, discovery; a kept file and SIGUSR2 for a successor; GET /api/members and `dahliabend members`.

--- a/dahliabend/cli/commands.py
+++ b/dahliabend/cli/commands.py
@@ -10,6 +10,7 @@
     "show": "dahliabend.cli.routes:show",
     "explain": "dahliabend.cli.routes:explain",
     "diff": "dahliabend.cli.routes:diff",
+    "members": "dahliabend.cli.members:members",
 }
 HELP = {
     "emulate": "The network code on a virtual clock, against faults from seeds or files.",
@@ -17,6 +18,7 @@
     "show": "Every setting in force, and the line that says it.",
     "explain": "Which route a request takes, why, what will be tried and for how long.",
     "diff": "What a reload from one file to another would change.",
+    "members": "Who else balances: alive, suspected, gone, by whom and since when.",
 }
 
 
--- a/dahliabend/net/program/events.py
+++ b/dahliabend/net/program/events.py
@@ -47,7 +47,38 @@
         "warning", "an entry of the list can't be read and is passed over", ("why", "entry")
     ),
     "listening": Event("info", "callers are taken", ("address", "entrance", "pools")),
-    "members.unread": Event("warning", "a pool's file can't be read; what is known holds", ("file", "why")),
+    "member": Event(
+        "info",
+        "what is known of one balancer changed: joined, suspected, refuted, left, died, returned; unreached "
+        "and reached (that one from here), conflict (one name twice), paused (it was away itself), outcast "
+        "and counted (it itself, by the others)",
+        ("change", "member", "by", "incarnation"),
+    ),
+    "members.figures": Event(
+        "info",
+        "every 5 s, where the file has [members]",
+        (
+            "version",
+            "mark",
+            "members",
+            "suspected",
+            "stable",
+            "cut",
+            "outcast",
+            "age_ms",
+            "confidence",
+            "doubt",
+            "sent",
+            "sent_bytes",
+            "come",
+            "come_bytes",
+            "dropped",
+        ),
+    ),
+    "members.open": Event(
+        "info", "it speaks with the other balancers", ("name", "address", "advertise", "life", "resumed")
+    ),
+    "members.unread": Event("warning", "a list's file can't be read; what is known holds", ("file", "why")),
     "no_room": Event("warning", "more transactions than the table holds", ("tickets",)),
     "passed_on": Event("debug", "a pool turned one away unseen; its fallback has it", ENDED),
     "pool.gone": Event(
--- /dev/null
+++ b/dahliabend/net/program/fleet.py
@@ -0,0 +1,246 @@
+"""This balancer among the others: membership wired to the operator's file, the log, and the operators' door.
+
+Imported only where the file has `[members]`: nothing else pays for it.
+"""
+
+import os
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+
+from dahliabend.config import address
+from dahliabend.members.machine import Event, Machine, Terms
+from dahliabend.members.seal import Seal, key
+from dahliabend.members.shell import Shell
+from dahliabend.members.view import View
+from dahliabend.members.wire import Rumour
+from dahliabend.model import State
+from dahliabend.net.program.lists import ListFile
+from dahliabend.net.protocol.discovery import Book, Discovery
+from dahliabend.net.transport import machine as computer
+from dahliabend.net.transport.deadlines import Deadlines, clock
+from dahliabend.net.transport.descriptors import Descriptors
+from dahliabend.settings.types import Members
+
+KEEP_BEATS = 30  # periods between two writings of what is kept
+DIAL_TIME = 250_000
+WARNED = {"conflict", "outcast"}  # changes that say that something is wrong
+
+
+class Kept(msgspec.Struct):
+    """What a process leaves for the next one in its place."""
+
+    name: str
+    place: str
+    handed: bool  # the next one goes on as this one; else it only knows whom to ask
+    at: int  # Unix microseconds
+    life: int
+    incarnation: int
+    serial: int
+    members: list[Rumour]
+
+
+class Seeds:
+    """Those told of by a list, as a reader of it."""
+
+    def __init__(self, changed: Callable[[], None]) -> None:
+        self.changed = changed
+        self.places: dict[str, str] = {}
+
+    def listed(self, rows: list[tuple], full: bool) -> None:
+        if full:
+            self.places = {}
+        for name, place, state, *_ in rows:
+            if state is State.GONE:
+                self.places.pop(name, None)
+            else:
+                self.places[name] = f"{place[0]}:{place[1]}"
+        self.changed()
+
+    def list_failed(self) -> None: ...
+
+
+class Fleet:
+    def __init__(
+        self, settings: Members, folder: str, deadlines: Deadlines, descriptors: Descriptors, seed: int,
+        log: Callable,
+    ) -> None:  # fmt: skip
+        self.settings, self.folder, self.log = settings, folder, log
+        self.deadlines, self.descriptors = deadlines, descriptors
+        self.place = settings.advertise or settings.address
+        self.name = settings.name or self.place
+        self.chance = Random(f"members {self.name} {seed}")
+        terms = Terms(period=settings.period, forget=settings.forget, cut=float(settings.cut))
+        life = computer.wall() // 1000
+        self.kept = self.read_kept()
+        if self.kept is not None:  # a clock that was set back must not make it older than it was
+            life = max(life, self.kept.life + 1)
+        self.machine = Machine(
+            self.name, life, self.place, terms, self.chance, settings.zone, settings.weight
+        )
+        self.shell = Shell(self.machine, self.seal_of(settings), deadlines, self.heard)
+        self.told = Seeds(self.follow)
+        self.lists: list[ListFile | Discovery] = []
+        self.keeping: list | None = None
+        self.opened = self.went = False
+
+    def seal_of(self, settings: Members) -> Seal:
+        read = computer.read_file
+        return Seal([key(read(os.path.join(self.folder, name))) for name in settings.key_files])
+
+    async def open(self) -> None:
+        """OSError where the address can't be had."""
+        if self.kept is not None and self.kept.handed:
+            self.machine.resume(clock(), msgspec.structs.asdict(self.kept))
+        await self.shell.open(address(self.settings.address), self.seeds())
+        self.log(
+            "members.open", name=self.name, address=self.settings.address, advertise=self.place,
+            life=self.machine.life, resumed=bool(self.kept and self.kept.handed),
+        )  # fmt: skip
+        self.opened = True
+        self.watch_lists()
+        self.keep()
+
+    # Seeds.
+
+    def seeds(self) -> list[str]:
+        kept = [rumour.address for rumour in self.kept.members] if self.kept is not None else []
+        return list(dict.fromkeys([*self.settings.seeds, *self.told.places.values(), *kept]))
+
+    def follow(self) -> None:
+        self.machine.follow(self.seeds())
+
+    def watch_lists(self) -> None:
+        for each in self.lists:
+            each.stop()
+        self.lists.clear()
+        if self.settings.seeds_file is not None:
+            made = ListFile(Book(self.told, self.log), self.deadlines, self.log)
+            self.lists.append(made)
+            made.watch(os.path.join(self.folder, self.settings.seeds_file))
+        if self.settings.seeds_discovery is not None:
+            place = address(self.settings.seeds_discovery)
+            made = Discovery(
+                place, Book(self.told, self.log), self.deadlines, self.descriptors, DIAL_TIME,
+                self.chance.random, self.log,
+            )  # fmt: skip
+            self.lists.append(made)
+            made.open()
+
+    # What stays behind.
+
+    def read_kept(self) -> Kept | None:
+        """None where there is none, it is another's, or it can't be read: it starts without."""
+        if self.settings.keep is None:
+            return None
+        path = os.path.join(self.folder, self.settings.keep)
+        try:
+            made = msgspec.json.decode(computer.read_file(path), type=Kept)
+        except FileNotFoundError:
+            return None
+        except (OSError, ValueError) as error:
+            self.log("handover.unread", why=f"{self.settings.keep}: {error}")
+            return None
+        if (made.name, made.place) != (self.name, self.place):
+            self.log("handover.unread", why=f"{self.settings.keep}: it is {made.name}'s at {made.place}")
+            return None
+        # Known too long ago, or by a clock that has stepped: whom to ask is all that is taken from it.
+        age = computer.wall() // 1000 - made.at
+        made.handed = made.handed and 0 <= age < self.settings.period * KEEP_BEATS
+        return made
+
+    def keep(self, handed: bool = False) -> None:
+        if self.settings.keep is None:
+            return
+        made = Kept(
+            self.name, self.place, handed, computer.wall() // 1000, **self.machine.hand()
+        )  # fmt: skip
+        path = os.path.join(self.folder, self.settings.keep)
+        try:
+            computer.folder(os.path.dirname(path)).write(os.path.basename(path), msgspec.json.encode(made))
+        except OSError as error:
+            self.log("handover.unwritten", why=str(error))
+        if not handed:
+            self.deadlines.drop(self.keeping)
+            self.keeping = self.deadlines.at(clock() + KEEP_BEATS * self.settings.period, self.keep)
+
+    # Changes.
+
+    def take_over(self, settings: Members) -> None:
+        """What a reload changes while it runs; the rest waits for a restart."""
+        before, self.settings = self.settings, msgspec.structs.replace(
+            self.settings, zone=settings.zone, weight=settings.weight, seeds=settings.seeds,
+            seeds_file=settings.seeds_file, seeds_discovery=settings.seeds_discovery,
+            key_files=settings.key_files,
+        )  # fmt: skip
+        self.shell.seal = self.seal_of(settings)  # the files may hold other keys under the same names
+        if (settings.zone, settings.weight) != (before.zone, before.weight):
+            self.machine.change(clock(), zone=settings.zone, weight=settings.weight)
+        lists = settings.seeds_file, settings.seeds_discovery
+        if lists != (before.seeds_file, before.seeds_discovery):
+            self.told.places = {}
+            self.watch_lists()
+        self.follow()
+
+    def heard(self, event: Event) -> None:
+        self.log("member", change=event.what, member=event.name, by=event.by, incarnation=event.incarnation)
+
+    def go(self, hand: bool = False) -> None:
+        """It leaves, and the others know at once; or, handing over, it falls silent for its successor."""
+        if self.went:
+            return
+        self.went = True
+        if hand:
+            self.keep(handed=True)
+            self.shell.close()
+        else:
+            self.shell.leave()
+
+    def close(self) -> None:
+        self.deadlines.drop(self.keeping)
+        for each in self.lists:
+            each.stop()
+        self.shell.close()
+
+    # What is seen.
+
+    def view(self) -> View:
+        return self.machine.view(clock())
+
+    def settled(self) -> View | None:
+        return self.machine.settled(clock())
+
+    def figures(self) -> dict:
+        view, shell = self.view(), self.shell
+        return {
+            "version": view.version, "mark": view.mark, "members": len(view.members),
+            "suspected": sum(member.state == "suspected" for member in view.members),
+            "stable": view.stable, "cut": view.cut, "outcast": view.outcast, "age_ms": view.age // 1000,
+            "confidence": round(view.confidence, 3), "doubt": self.machine.score, "sent": shell.sent,
+            "sent_bytes": shell.sent_bytes, "come": shell.come, "come_bytes": shell.come_bytes,
+            "dropped": dict(self.machine.refused),
+        }  # fmt: skip
+
+    def shown(self) -> dict:
+        """All that this instance knows, for the operators' door. Times are milliseconds ago."""
+        now, latest, settled = clock(), self.view(), self.settled()
+        rows = [
+            {"name": m.name, "address": m.address, "zone": m.zone, "weight": m.weight, "life": m.life,
+             "incarnation": m.incarnation, "state": m.state, "by": m.by, "cannot_reach": m.cannot,
+             "since_ms": (now - m.since) // 1000 if m.since else None}
+            for m in latest.members
+        ]  # fmt: skip
+        gone = [
+            {"name": name, "address": member.rumour.address, "zone": member.rumour.zone,
+             "state": member.rumour.standing.name.lower(), "by": member.rumour.by,
+             "incarnation": member.rumour.incarnation, "since_ms": (now - member.since) // 1000}
+            for name in self.machine.gone
+            for member in (self.machine.members[name],)
+        ]  # fmt: skip
+        return {
+            "name": self.name, **self.figures(), "here": rows, "gone": gone,
+            "settled": None if settled is None else
+            {"version": settled.version, "mark": settled.mark, "members": [m.name for m in settled.members],
+             "age_ms": (now - settled.at) // 1000},
+        }  # fmt: skip
--- /dev/null
+++ b/dahliabend/net/program/lists.py
@@ -0,0 +1,48 @@
+"""A list of upstreams or of balancers that stands in a file."""
+
+from collections.abc import Callable
+
+import orjson
+
+from dahliabend.net.protocol.discovery import Book
+from dahliabend.net.transport import machine
+from dahliabend.net.transport.deadlines import Deadlines, clock
+
+LOOK = 1_000_000  # how often the file is read again
+
+
+class ListFile:
+    """A list where no discovery keeps it: in the operator's file, or in one of its own, watched."""
+
+    def __init__(self, book: Book, deadlines: Deadlines, log: Callable) -> None:
+        self.book, self.deadlines, self.log = book, deadlines, log
+        self.tried, self.path, self.text, self.again = True, "", b"", None
+
+    def say(self, rows: list[dict]) -> None:
+        message = {"version": self.book.version + 1, "full": True, "servers": rows}
+        self.book.read(message, first=True)
+
+    def watch(self, path: str) -> None:
+        self.stop()
+        self.path = path
+        self.look()
+
+    def look(self) -> None:
+        self.again = self.deadlines.at(clock() + LOOK, self.look)
+        try:
+            text = machine.read_file(self.path)
+            if text == self.text:
+                return
+            rows = orjson.loads(text)["servers"]
+            if not isinstance(rows, list):
+                raise ValueError("servers is no list")
+        except (OSError, ValueError, KeyError, TypeError) as error:
+            # Half a file, or none for a moment: what is known holds, nothing is taken out for it.
+            return self.log("members.unread", file=self.path, why=str(error))
+        self.text = text
+        self.say(rows)
+
+    def open(self) -> None: ...
+
+    def stop(self) -> None:
+        self.deadlines.drop(self.again)
--- a/dahliabend/net/program/operations.py
+++ b/dahliabend/net/program/operations.py
@@ -25,6 +25,7 @@
             b"/api/include": (b"PUT", self.include),
             b"/api/evacuate": (b"PUT", self.evacuate),
             b"/api/rejoin": (b"PUT", self.rejoin),
+            b"/api/members": (b"GET", self.members),
         }
 
     def __call__(self, method: bytes, path: bytes, body: bytes) -> Answer:
@@ -48,6 +49,10 @@
     def telemetry(self, _: bytes) -> Answer:
         return said(200, **self.program.telemetry())
 
+    def members(self, _: bytes) -> Answer:
+        shown = self.program.members()
+        return said(404, error="there is no [members]") if shown is None else said(200, **shown)
+
     def exclude(self, body: bytes, out: bool = True) -> Answer:
         try:
             target = orjson.loads(body)["target"]
--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -162,6 +162,10 @@
     def telemetry(self) -> dict:
         return self.figures.shown() | self.router.shown()
 
+    def members(self) -> dict | None:
+        """Who else balances, where that is known."""
+        return None
+
     def exclude(self, name: str, out: bool) -> bool:
         known = self.router.exclude(name, out)
         if known and self.handover is not None:
--- a/dahliabend/net/program/service.py
+++ b/dahliabend/net/program/service.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import os
-from collections.abc import Callable, Iterator, Mapping
-
-import orjson
+import signal
+from collections.abc import Iterator, Mapping
 
 from dahliabend.config import REST, Node, address
 from dahliabend.model import Effect, Group, Profile, Settings
 from dahliabend.net.program.figures import Figures
+from dahliabend.net.program.lists import ListFile
 from dahliabend.net.program.log import Log
 from dahliabend.net.program.operations import Operations
 from dahliabend.net.program.serve import BEAT, Program, live
@@ -23,13 +23,12 @@
 from dahliabend.net.transport.descriptors import DOOR, OTHERS, Descriptors
 from dahliabend.net.transport.listener import Listener
 from dahliabend.routes.checks import Effective, targets
-from dahliabend.routes.plan import RESTART, Plan, diff, plan
+from dahliabend.routes.plan import Plan, diff, passed_over, plan
 from dahliabend.settings import types
 from dahliabend.settings.types import File
 
 SOCKETS = 4096  # descriptors, where the environment says nothing
 MOST_HELD = 20_000
-LOOK = 1_000_000  # how often a pool's file is read again
 SLACK = 20_000  # a caller's limit may be this much nearer than it looks
 
 _EFFECTS = {
@@ -112,6 +111,14 @@
     return node, {number: n for n, number in enumerate(numbers)}
 
 
+def rows_of(members: list[types.Member]) -> list[dict]:
+    """In discovery's form."""
+    return [
+        {"id": m.id, "addr": m.address, "zone": m.zone, "cell": m.cell, "weight": m.weight, "state": "up"}
+        for m in members
+    ]
+
+
 def unmet(file: File) -> Iterator[str]:
     """What the file says and this program does not do."""
     for name, kind in file.classes.items():
@@ -119,49 +126,6 @@
             yield f"classes.{name}.longest-body"
 
 
-class Members:
-    """A pool's list where no discovery keeps it: in the operator's file, or in one of its own, watched."""
-
-    def __init__(self, book: Book, deadlines: Deadlines, log: Callable) -> None:
-        self.book, self.deadlines, self.log = book, deadlines, log
-        self.tried, self.path, self.text, self.again = True, "", b"", None
-
-    def say(self, members: list[types.Member]) -> None:
-        self.tell(
-            [{"id": m.id, "addr": m.address, "zone": m.zone, "cell": m.cell, "weight": m.weight,
-              "state": "up"} for m in members]
-        )  # fmt: skip
-
-    def tell(self, rows: list[dict]) -> None:
-        message = {"version": self.book.version + 1, "full": True, "servers": rows}
-        self.book.read(message, first=True)
-
-    def watch(self, path: str) -> None:
-        self.stop()
-        self.path = path
-        self.look()
-
-    def look(self) -> None:
-        self.again = self.deadlines.at(clock() + LOOK, self.look)
-        try:
-            text = machine.read_file(self.path)
-            if text == self.text:
-                return
-            rows = orjson.loads(text)["servers"]
-            if not isinstance(rows, list):
-                raise ValueError("servers is no list")
-        except (OSError, ValueError, KeyError, TypeError) as error:
-            # Half a file, or none for a moment: what is known holds, nothing is taken out for it.
-            return self.log("members.unread", file=self.path, why=str(error))
-        self.text = text
-        self.tell(rows)
-
-    def open(self) -> None: ...
-
-    def stop(self) -> None:
-        self.deadlines.drop(self.again)
-
-
 class Service(Program):
     """As `Program`, with a desk of routes in place of one router."""
 
@@ -186,8 +150,28 @@
         self.older, self.clearing, self.halved = [], None, False
         self.discovery = self  # `start` opens it, `end` stops it
         self.patience = 0
+        self.fleet = self.fleet_of(made)
         self.take_over_plan(made)
 
+    def fleet_of(self, made: Plan):
+        """None where the file has no `[members]`: nothing of it is loaded then."""
+        if made.file.members is None:
+            return None
+        try:
+            from dahliabend.net.program.fleet import Fleet
+        except ModuleNotFoundError as error:
+            at = made.source.place(("members",))
+            wants = "pip install 'dahliabend[members]'"
+            raise Refused([f"{at.file}:{at.line}: members: {error.name} is missing: {wants}"]) from None
+        folder = os.path.dirname(os.path.abspath(self.path))
+        return Fleet(made.file.members, folder, self.deadlines, self.descriptors, self.seed, self.log)
+
+    async def start(self) -> None:
+        await super().start()
+        if self.fleet is not None:
+            asyncio.get_running_loop().add_signal_handler(signal.SIGUSR2, self.hand_over)
+            await self.fleet.open()
+
     def read(self) -> Plan:
         """ValueError names every fault."""
         made = plan(self.path, environment=self.environment, read=machine.read_file)
@@ -247,11 +231,11 @@
             self.deadlines.loop.call_soon(keeper.open)
         else:
             keeper = before
-            if not isinstance(before, Members):
-                keeper = Members(Book(router, self.log), self.deadlines, self.log)
+            if not isinstance(before, ListFile):
+                keeper = ListFile(Book(router, self.log), self.deadlines, self.log)
             if pool.members is not None:
                 keeper.stop()
-                keeper.say(pool.members)
+                keeper.say(rows_of(pool.members))
             else:
                 keeper.watch(os.path.join(os.path.dirname(self.path), pool.file))
         if before is not None and before is not keeper:
@@ -260,6 +244,21 @@
 
     def open(self) -> None: ...
 
+    # Among the others.
+
+    def members(self) -> dict | None:
+        return self.fleet.shown() if self.fleet is not None else None
+
+    def stop(self) -> None:
+        if self.fleet is not None:
+            self.fleet.go()
+        super().stop()
+
+    def hand_over(self) -> None:
+        """It ends as by SIGTERM, but the others are told nothing: who starts in its place goes on as it."""
+        self.fleet.go(hand=True)
+        self.stop()
+
     def stop_lists(self) -> None:
         for pool in self.desk:
             pool.stop()
@@ -267,6 +266,8 @@
     async def end(self) -> None:
         await self.done
         self.stop_lists()
+        if self.fleet is not None:
+            self.fleet.close()
         self.log("ended", counts=self.desk.counts)
 
     # Reload, whole or not at all.
@@ -283,8 +284,10 @@
         if made.file.listeners.get("callers") is None:
             made.file.listeners.update(self.plan.file.listeners)
         self.take_over_plan(made)
-        passed_over = [c["key"] for c in changes if c["key"].partition(".")[0] in RESTART]
-        self.log("reloaded", changes=len(changes), passed_over=passed_over)
+        if self.fleet is not None and made.file.members is not None:
+            self.fleet.take_over(made.file.members)
+        late = [change["key"] for change in changes if passed_over(change["key"])]
+        self.log("reloaded", changes=len(changes), passed_over=late)
 
     # Figures.
 
@@ -301,6 +304,8 @@
                 out=balancer.out, crowd=round(balancer.ceiling, 1), tier=round(balancer.tier.metric, 2),
                 ready=len(balancer.ready), retired=pool.retired,
             )  # fmt: skip
+        if self.fleet is not None and self.fleet.opened:
+            self.log("members.figures", **self.fleet.figures())
         self.deadlines.at(clock() + BEAT, self.beat)
 
 
--- a/dahliabend/net/transport/machine.py
+++ b/dahliabend/net/transport/machine.py
@@ -19,6 +19,10 @@
     return socket.socket(socket.AF_INET, socket.SOCK_STREAM)
 
 
+def datagram_socket() -> socket.socket:
+    return socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+
+
 def inherited_socket(number: int) -> socket.socket:
     """OSError where it is none."""
     return socket.socket(fileno=number)
--- a/dahliabend/routes/checks.py
+++ b/dahliabend/routes/checks.py
@@ -9,11 +9,13 @@
 from dahliabend.routes.table import Table
 from dahliabend.settings.read import nearest
 from dahliabend.settings.source import Key, Source
-from dahliabend.settings.types import Class, File, Pool, Route, Treatment
+from dahliabend.settings.types import Class, File, Members, Pool, Route, Treatment
 from dahliabend.settings.units import Span
 
 METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE", "HEAD", "OPTIONS")
 MOST_ATTEMPTS = 64
+LONGEST, LEAST_KEY, MOST_WEIGHT = 64, 32, 1e6  # bytes of a name, of a key
+LEAST_PERIOD, MOST_PERIOD = Span(20_000), Span(60_000_000)
 FIELDS = ("hop_time", "total_time", "attempts", "replays", "second_copy_after", "retry_share", "concurrency",
           "rate", "burst")  # fmt: skip
 DEFAULTS = {"attempts": 3}
@@ -58,6 +60,8 @@
 def check(file: File, source: Source) -> None:
     """All checks; faults go to the source."""
     _listeners(file, source)
+    if file.members is not None:
+        _members_among(file.members, source)
     _classes(file, source)
     _pools(file, source)
     _routes(file, source)
@@ -73,6 +77,43 @@
         taken[listener.address] = name
 
 
+def _members_among(members: Members, source: Source) -> None:
+    """The balancers' own table."""
+    key = ("members",)
+    places = {"address": members.address, "advertise": members.advertise}
+    for name, text in (places | {"seeds-discovery": members.seeds_discovery}).items():
+        if text is not None:
+            _address(text, (*key, name), source)
+    for number, seed in enumerate(members.seeds):
+        _address(seed, (*key, "seeds", number), source)
+    for name in ("name", "zone"):
+        text = getattr(members, name)
+        if text is not None and len(text.encode()) > LONGEST or text == "" and name == "name":
+            source.fault((*key, name), f"{text!r} is not between 1 and {LONGEST} bytes long")
+    if not 0 < members.weight < MOST_WEIGHT:
+        source.fault((*key, "weight"), f"{members.weight:g} is not between 0 and {MOST_WEIGHT:g}")
+    if not LEAST_PERIOD <= members.period <= MOST_PERIOD:
+        source.fault((*key, "period"), f"{members.period} is not between {LEAST_PERIOD} and {MOST_PERIOD}")
+    if members.forget < 100 * members.period:
+        source.fault((*key, "forget"), f"{members.forget} is less than a hundred periods")
+    if not 0 < members.cut < 1:
+        source.fault((*key, "cut"), f"{members.cut} is not between 0 and 1")
+    if not 1 <= len(members.key_files) <= 2:
+        source.fault(
+            (*key, "key-files"), f"names {len(members.key_files)} files: one, or two while a key is replaced"
+        )
+    for number, name in enumerate(members.key_files):
+        try:
+            least = len(source.reads(source.beside(name)).strip())
+        except OSError as error:
+            source.fault((*key, "key-files", number), f"{name} can't be read: {error.strerror or error}")
+            continue
+        if least < LEAST_KEY:
+            source.fault(
+                (*key, "key-files", number), f"{name}: {least} bytes; a key has {LEAST_KEY} at least"
+            )
+
+
 def _address(text: str, key: Key, source: Source) -> None:
     try:
         address(text)
--- a/dahliabend/routes/plan.py
+++ b/dahliabend/routes/plan.py
@@ -12,7 +12,8 @@
 from dahliabend.settings.types import File
 from dahliabend.settings.units import UNITS, Span
 
-RESTART = ("listeners",)  # what a reload passes over
+RESTART = ("listeners", "members")  # what a reload passes over,
+TAKEN = {"zone", "weight", "seeds", "seeds-file", "seeds-discovery", "key-files"}  # but for these of members
 
 
 @dataclass(slots=True)
@@ -140,10 +141,16 @@
     return found
 
 
+def passed_over(key: str) -> bool:
+    """Does a change of this wait for a restart?"""
+    top, _, rest = key.partition(".")
+    return top in RESTART and not (top == "members" and rest.partition("[")[0] in TAKEN)
+
+
 def effect(key: str, how: str, new: Plan) -> str:
     top, _, rest = key.partition(".")
     name = rest.partition(".")[0]
-    if top in RESTART:
+    if passed_over(key):
         return "wants a restart; a reload passes it over"
     if top == "pools" and how == "removed" and name not in new.file.pools:
         return "the pool goes once what is open there has ended"
--- a/dahliabend/settings/source.py
+++ b/dahliabend/settings/source.py
@@ -61,6 +61,7 @@
     faults: list[Fault] = field(default_factory=list)
     files: list[str] = field(default_factory=list)
     top: str = ""
+    reads: Callable[[str], bytes] = field(default=lambda path: _read(path))
 
     def place(self, key: Key) -> Place:
         """Of the key, or of the nearest above it."""
@@ -68,6 +69,10 @@
             key = key[:-1]
         return self.places.get(key, Place(self.top, 1))
 
+    def beside(self, name: str) -> str:
+        """The path of a file that the settings name."""
+        return os.path.join(os.path.dirname(self.top), name)
+
     def fault(self, key: Key, reason: str) -> None:
         at = self.place(key)
         self.faults.append(Fault(at.file, at.line, path_of(key), reason))
@@ -82,7 +87,7 @@
 ) -> Source:
     """The file and all that it includes, in order: what comes later goes before, lists are joined. Faults are
     gathered, none is raised."""
-    source = Source(top=path)
+    source = Source(top=path, reads=read)
     _include(source, path, environment, read, (), Place(path, 1))
     return source
 
--- a/dahliabend/settings/types.py
+++ b/dahliabend/settings/types.py
@@ -98,6 +98,24 @@
     mirror_share: Share = Share(1.0)
 
 
+class Members(Table, kw_only=True):
+    """The balancers among themselves. Seeds come from what is named here, from all of it together."""
+
+    address: str  # where their datagrams come in, UDP
+    advertise: str | None = None  # where the others send to; the address, if left out
+    name: str | None = None  # the same after a restart; where the others send to, if left out
+    zone: str = ""
+    weight: float = 1.0
+    seeds: list[str] = []
+    seeds_file: str | None = None  # in discovery's form, watched
+    seeds_discovery: str | None = None
+    key_files: list[str] = []  # the first seals, each opens
+    keep: str | None = None  # a file: who was known, and what a successor goes on from
+    period: Span = Span(S)
+    forget: Span = Span(3600 * S)
+    cut: Share = Share(1 / 3)
+
+
 class File(Table, kw_only=True):
     """The whole file, after its includes."""
 
@@ -105,6 +123,7 @@
     listeners: dict[str, Listener] = {}
     log: Log = msgspec.field(default_factory=Log)
     defaults: Defaults = msgspec.field(default_factory=Defaults)
+    members: Members | None = None
     pools: dict[str, Pool] = {}
     classes: dict[str, Class] = {}
     routes: list[Route] = []
--- a/tests/members/test_machine.py
+++ b/tests/members/test_machine.py
@@ -3,6 +3,7 @@
 from random import Random
 
 import pytest
+from msgspec.structs import replace
 from town import S, Town
 
 from dahliabend.members import wire
@@ -113,16 +114,125 @@
     assert len(told) >= 2 and town.machines["b0"].members["b1"].rumour.address == "b1"
 
 
+def test_a_cut_one_way_between_two_is_told_as_such_once_and_taken_back_once():
+    town = Town(5).run(10 * S)
+    town.cut.add(("b1", "b2"))
+    town.run(240 * S)
+    seen = {m.name: m.cannot for m in town.machines["b4"].view(town.now).members}
+    assert seen["b1"] == ("b2",) and seen["b2"] == ("b1",) and not town.died()
+    assert all(m.view(town.now).stable for m in town.machines.values())
+    town.cut.clear()
+    town.run(120 * S)
+    told = [e.what for m in town.machines.values() for e in m.events if e.what in ("reached", "unreached")]
+    assert sorted(told) == ["reached"] * 2 + ["unreached"] * 2
+
+
+def test_one_that_most_cannot_reach_is_told_as_unreached_to_all():
+    """What it says still comes, by the one that reaches it: dead and returned in turns, it would flap."""
+    town = Town(7).run(10 * S)
+    town.cut = {(f"b{n}", "b3") for n in range(7) if n != 5}
+    town.run(240 * S)
+    states = {n: {s.name: s.state for s in m.view(town.now).members} for n, m in town.machines.items()}
+    assert all(states[n].get("b3") in ("unreached", None) for n in ("b0", "b1", "b2", "b4", "b6"))
+
+
+def test_nobody_is_buried_by_hearsay():
+    """After a cut the other side's word would kill those who were reachable all along."""
+    town = Town(3).run(10 * S)
+    told = town.machines["b0"]
+    dead = replace(told.members["b1"].rumour, standing=wire.Standing.DEAD, by="b2")
+    told.learn(town.now, dead)
+    assert "b1" in town.sees("b0") and not told.view(town.now).stable
+    assert town.run(10 * S).agree() and not town.died()
+
+
+def test_what_one_thought_dead_says_against_others_is_its_own_trouble():
+    town = Town(5).run(10 * S)
+    machine = town.machines["b0"]
+    machine.put(town.now, replace(machine.members["b4"].rumour, standing=wire.Standing.DEAD), "died")
+    against = replace(machine.members["b1"].rumour, standing=wire.Standing.SUSPECT, by="b4")
+    sender = town.machines["b4"]
+    data, _ = wire.encode("b4", 1, sender.serial + 1, wire.Whole(False), [wire.pack(against)])
+    machine.received(town.now, data, "b4")
+    assert not machine.suspects
+
+
+def test_a_process_whose_clock_was_set_back_takes_its_place_all_the_same():
+    town = Town(4).run(10 * S)
+    town.begin("b2", life=0, seeds=["b0"])
+    town.run(30 * S)
+    assert town.agree() and not town.died() and town.machines["b2"].life == 2
+
+
+def test_a_late_datagram_of_a_former_life_changes_nothing():
+    town = Town(3).run(10 * S)
+    old, _ = wire.encode("b2", 1, 10_000, wire.Whole(False), [wire.pack(town.machines["b2"].me)])
+    town.begin("b2", life=2, seeds=["b0"])
+    town.run(10 * S)
+    machine = town.machines["b0"]
+    machine.received(town.now, old, "b2")
+    assert machine.refused["former"] == 1 and machine.members["b2"].rumour.life == 2
+
+
+def test_a_datagram_that_comes_again_is_dropped():
+    machine = Machine("a", 1, "a", Terms(), Random(1))
+    machine.start(0, [])
+    data, _ = wire.encode("b", 1, 1, wire.Ping(1, "a"), [])
+    for _ in range(3):
+        machine.received(1, data, "b")
+    assert machine.refused["replayed"] == 2 and len(machine.out) == 1
+
+
+def test_a_successor_goes_on_with_life_and_incarnation_and_nobody_sees_a_change():
+    town = Town(4).run(20 * S)
+    before, told = town.machines["b1"], len(town.machines["b0"].events)
+    made = Machine("b1", 99, "b1", town.terms, Random(5))
+    made.resume(town.now, before.hand())
+    town.machines["b1"] = made
+    made.start(town.now, [])
+    town.carry("b1")
+    town.run(30 * S)
+    assert town.agree() and made.life == before.life and made.serial > before.serial
+    assert not [e for e in town.machines["b0"].events[told:] if e.what in ("died", "left", "returned")]
+
+
+def test_one_that_wakes_asks_before_it_claims_and_its_view_is_not_stable_until_then():
+    town = Town(5).run(10 * S)
+    town.pause("b2", 60 * S)
+    town.run(59 * S)
+    machine = town.machines["b2"]
+    machine.wake(town.now + 3 * S)
+    assert machine.events[-1].what == "paused" and not machine.view(town.now).stable
+    machine.accuse(town.now, "b0")
+    assert not machine.suspects
+
+
+def test_a_settled_view_is_the_last_one_without_a_suspicion():
+    town = Town(5).run(20 * S)
+    machine = town.machines["b0"]
+    settled = machine.settled(town.now)
+    machine.accuse(town.now, "b3")
+    latest = machine.view(town.now)
+    assert not latest.stable and machine.settled(town.now) is settled and len(settled.members) == 5
+    assert latest.confidence < settled.confidence
+
+
+def test_one_just_begun_does_not_take_itself_for_the_fleet():
+    machine = Machine("a", 1, "a", Terms(), Random(1))
+    machine.start(0, ["b"])
+    assert machine.settled(0) is None and not machine.view(0).stable
+
+
 def test_datagrams_that_cant_be_read_are_counted_and_dropped():
     machine = Machine("a", 1, "a", Terms(), Random(1))
     machine.start(0, [])
-    good, _ = wire.encode("b", 1, wire.Ping(1, "a"), [])
+    good, _ = wire.encode("b", 1, 1, wire.Ping(1, "a"), [])
     chance = Random(2)
-    bad = [b"", b"\x00" * 2_000, good[:-1], good.replace(b"\x95\x01", b"\x95\x02", 1)]
+    bad = [b"", b"\x00" * 2_000, good[:-1], good.replace(b"\x96\x01", b"\x96\x02", 1)]
     bad += [bytes(chance.randrange(256) for _ in range(chance.randrange(60))) for _ in range(2_000)]
     for data in bad:
         machine.received(0, data, "b")
-    assert machine.refused == len(bad) and not machine.members and not machine.out
+    assert machine.refused.total() == len(bad) and not machine.members and not machine.out
 
 
 def test_a_datagram_keeps_its_size_whatever_the_fleet():
