Fleets as scripts on a modelled network: what was so against what each claimed; two islands mended

Cause: a seed known as gone was no longer asked. Now seeds that are not present are. - a part of two among five no longer said that it may be cut off once its losses lay further apart than one suspicion, as one that doubts itself takes longer over each: lost within two, and told until they are back. - sides of a healed cut spoke once in 30 periods; one thought dead is told the table every fifth.

--- a/dahliabend/members/machine.py
+++ b/dahliabend/members/machine.py
@@ -20,6 +20,7 @@
 HERE = (Standing.ALIVE, Standing.SUSPECT)
 MUTE, BACK = 8, 2  # probes that others had to help with until one is told as unreachable; each own answer
 # takes back two: under even loss of three in ten datagrams, where half of the probes need help, it stays low
+KNOCKS = 6  # times that one thought dead is told the table while the whole is exchanged once
 HEARD = 9 / 10  # of the members that another knows: one that joins knows enough
 PARTS = 4  # datagrams of the table for one that asks for it
 
@@ -101,7 +102,8 @@
         self.number = chance.getrandbits(32)
         self.serial = self.score = self.version = self.heard = self.beats = self.beat = self.due = 0
         self.asking = 0  # until when it takes nothing that it knows for settled: it has just begun, or paused
-        self.lost: list[int] = []  # when members were lost
+        self.lost: dict[str, int] = {}  # those lost of late, and when
+        self.severed: set[str] = set()  # of those still gone, the ones lost with so many others at once
         self.refused: Counter[str] = Counter()  # datagrams dropped, by kind
         self.outcast = ""
         self.conflicts: dict[str, int] = {}  # names that are used twice, and when that was told
@@ -279,7 +281,8 @@
         for name in list(self.gone):
             if now - self.members[name].since <= self.terms.forget:
                 break  # the others went later
-            del self.members[name], self.gone[name]
+            del self.members[name]
+            self.forget(name)
         if self.probe is None and not self.leaving:
             self.begin_probe(now)
         if self.beats % self.terms.whole == 0:
@@ -287,6 +290,8 @@
         elif now < self.asking:
             for name in self.sample(self.present, 1) or self.knock():
                 self.trade(self.members[name].rumour.address)
+        elif self.gone and self.beats % max(1, self.terms.whole // KNOCKS) == 0:
+            self.knock_on_one_gone()
         # It asks before it buries: the refutation may have been lost on the way to this one alone.
         if self.suspects:
             doubts = [self.members[name].packed for name in self.suspects]
@@ -344,16 +349,23 @@
 
     def exchange(self) -> None:
         """With one that is there, one thought dead (after a cut each side thinks so of the other), one seed
-        never heard of: where all start at once and first datagrams are lost, islands would stay."""
-        for name in self.sample(self.present, 1) + self.sample(list(self.gone), 1):
+        that is not: where all start at once and first datagrams are lost, islands would stay."""
+        for name in self.sample(self.present, 1):
             self.trade(self.members[name].rumour.address)
+        self.knock_on_one_gone()
         if self.seeds:
-            known = {member.rumour.address for member in self.members.values()}
+            # Seeds that left and came back at one time know only each other: they are asked too.
+            known = {self.members[name].rumour.address for name in self.present}
             for seed in self.sample([seed for seed in self.seeds if seed not in known], 1):
                 self.trade(seed)
         if not self.present:
             self.knock()
 
+    def knock_on_one_gone(self) -> None:
+        dead = [name for name in self.gone if self.members[name].rumour.standing is Standing.DEAD]
+        for name in self.sample(dead, 1):
+            self.trade(self.members[name].rumour.address)
+
     def knock(self) -> list[str]:
         """With nobody left: the seeds, and those thought dead, which may think the same of this one."""
         places = self.seeds + [m.rumour.address for m in self.members.values()]
@@ -444,13 +456,13 @@
         else:
             self.suspects.pop(name, None)
         if rumour.standing in HERE:
-            self.gone.pop(name, None)
+            self.forget(name)
             self.come_in(name)
         elif name not in self.gone:
             self.gone[name] = None
             self.go_out(name)
             if rumour.standing is Standing.DEAD and was is not None and was.standing in HERE:
-                self.lost = [*(at for at in self.lost if at > now - self.terms.at_once), now]
+                self.lose(now, name)
             if name in self.me.cannot:
                 self.change(now, cannot=tuple(other for other in self.me.cannot if other != name))
         self.serials.most = 64 + 4 * len(self.members)
@@ -460,6 +472,19 @@
             self.events.append(Event(now, what, name, rumour.by, rumour.incarnation))
         self.tell(rumour, made.packed)
 
+    def lose(self, now: int, name: str) -> None:
+        """Many lost at once: they, or this one, may be cut off. One that doubts itself takes longer."""
+        since = now - 2 * self.terms.at_once
+        self.lost = {other: at for other, at in self.lost.items() if at > since} | {name: now}
+        if len(self.lost) > self.terms.cut * (self.size() + len(self.lost)):
+            self.severed.update(self.lost)
+
+    def forget(self, name: str) -> None:
+        """It is no longer among those gone."""
+        self.gone.pop(name, None)
+        self.lost.pop(name, None)
+        self.severed.discard(name)
+
     def come_in(self, name: str) -> None:
         if name not in self.places:
             self.places[name] = len(self.present)
@@ -521,7 +546,7 @@
         if self.seen is None or self.seen[0] != self.version:
             self.seen = self.version, *self.look()
         _, members, name = self.seen
-        lost = sum(at > now - self.terms.at_once for at in self.lost)
+        lost = len(self.severed)
         age = now - self.heard
         alone = bool(self.present) and age > self.terms.at_once
         mine = next((member for member in members if member.name == self.name), None)
--- /dev/null
+++ b/tests/fleets/test_fleets.py
@@ -0,0 +1,160 @@
+"""Scripts of fleets on the modelled network: seeds, hard cases by name, what checks find, bad files."""
+
+import pytest
+
+from dahliabend.emulator.fleets import script
+from dahliabend.emulator.fleets.claims import Claim, Outcome, judge
+from dahliabend.emulator.fleets.model import Model, play
+from dahliabend.emulator.fleets.script import Fleet, S, Step
+from dahliabend.emulator.fleets.truth import Truth
+from dahliabend.members.machine import Terms
+from dahliabend.settings.units import Span
+
+AGREE = Step(until="agree")
+
+
+def s(seconds):
+    return Span(round(seconds * S))
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_drawn_troubles_bury_nobody_who_is_there_and_all_agree_after_them(seed):
+    assert play(script.draw(seed, (5, 8, 16)[seed % 3])).violations == []
+
+
+def test_the_same_seed_plays_the_same():
+    one, other = (play(script.draw(7)) for _ in range(2))
+    assert one.lines == other.lines and one.counts == other.counts
+
+
+THREE = [0, 1, 2], [3, 4, 5], [6, 7, 8]
+HARD = {
+    "each of two thinks the other dead": Fleet(
+        instances=2, steps=[AGREE, Step("split", parts=[[0], [1]], span=s(60), wait=s(60)), AGREE]
+    ),
+    "stopped for a moment": Fleet(steps=[AGREE, Step("stop", whom=[2], span=s(0.2), wait=s(1)), AGREE]),
+    "stopped for half a suspicion": Fleet(
+        steps=[AGREE, Step("stop", whom=[2], span=s(8), wait=s(30)), AGREE]
+    ),
+    "half stopped at once": Fleet(
+        instances=10,
+        steps=[AGREE, Step("stop", whom=[0, 2, 4, 6, 8], span=s(60), wait=s(61)), AGREE],
+    ),
+    "a cut one way from one to all": Fleet(
+        steps=[AGREE, Step("cut", whom=[1], span=s(90), wait=s(90)), AGREE]
+    ),
+    "cuts one way around a ring": Fleet(
+        instances=6,
+        steps=[AGREE, *(Step("cut", whom=[n], to=[(n + 1) % 6]) for n in range(6)), Step(wait=s(180)),
+               Step("mend"), AGREE],
+    ),
+    "three in ten lost and late": Fleet(
+        steps=[AGREE, Step("lose", size=0.3), Step("delay", delay=s(0.2), wait=s(240)),
+               Step("mend"), AGREE]
+    ),
+    "three parts that heal in another order": Fleet(
+        instances=9,
+        steps=[AGREE, Step("split", parts=[THREE[0], THREE[1], THREE[2]], span=s(80), wait=s(60)),
+               Step("split", parts=[THREE[0] + THREE[2], THREE[1]], span=s(120), wait=s(120)), AGREE],
+    ),
+    "one that flaps faster than a suspicion lasts": Fleet(
+        steps=[AGREE, *(Step("kill", whom=[3], span=s(1), wait=s(2)) for _ in range(20)), AGREE]
+    ),
+    "back within a probe": Fleet(
+        steps=[AGREE, *(Step("restart", whom=[n], wait=s(0.4)) for n in range(5)), AGREE]
+    ),
+    "seeds that left and came back at one time": Fleet(
+        steps=[AGREE, Step("leave", whom=[0, 1], span=s(20), wait=s(40)), AGREE]
+    ),
+    "64 at once": Fleet(instances=64, steps=[AGREE, Step(wait=s(20)), AGREE]),
+    "strangers, old news, too much at once": Fleet(
+        steps=[AGREE, *(Step("strangers", wait=s(1)) for _ in range(10)), AGREE]
+    ),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("name", HARD)
+def test_hard_cases(name):
+    assert play(HARD[name]).violations == []
+
+
+def test_seeds_that_are_all_dead_don_t_matter_to_those_that_know_others():
+    fleet = Fleet(
+        instances=6, late=[5], seeds=[0, 1],
+        steps=[AGREE, Step("kill", whom=[0, 1], until="out"), Step("lose", size=0.2), Step(wait=s(30)),
+               Step("start", whom=[0], wait=s(10)), Step("start", whom=[5]), Step("mend"), AGREE],
+    )  # fmt: skip
+    assert play(fleet).violations == []
+
+
+def test_checks_find_a_false_death_a_late_one_and_views_that_differ():
+    truth = Truth(3)
+    for number in range(3):
+        truth.start(0, number)
+    truth.end(100 * S, 2)
+    joined = [Claim(S, a, "joined", b) for a in range(3) for b in range(3) if a != b]
+    outcome = Outcome()
+    judge(truth, [*joined, Claim(50 * S, 0, "died", 1)], Terms(), 400 * S, outcome)
+    assert sorted(text.split(": ")[1] for text in outcome.violations) == [
+        "false death",
+        "seen late",
+        "seen late",
+    ]
+    fleet = Fleet(
+        instances=3,
+        steps=[AGREE, Step("split", parts=[[0], [1, 2]], wait=s(60)), Step(until="agree", within=s(1))],
+    )
+    assert "agree" in play(fleet).violations[0]
+
+
+def test_without_what_it_is_for_the_seeds_find_it():
+    """Taken away: deaths by hearsay buried, and one that wakes trusting what it knew."""
+
+    def deaths(patch):
+        found = 0
+        for seed in range(12):
+            model = Model(script.draw(seed))
+            begin = model.town.begin
+
+            def started(*given, begin=begin, **more):
+                made = begin(*given, **more)
+                patch(made)
+                return made
+
+            model.town.begin = started
+            found += any("false death" in text for text in model.play().violations)
+        return found
+
+    def hearsay(machine):
+        suspect = machine.suspect
+
+        def learn_death(now, member, rumour, accusers):
+            if accusers > 1:
+                return machine.bury(now, member)
+            return suspect(now, member, rumour, accusers)
+
+        machine.suspect = learn_death
+
+    assert deaths(lambda _: None) == 0 and deaths(hearsay) > 0
+
+
+@pytest.mark.parametrize(
+    ("text", "path"),
+    [
+        ('{"instances": 0}', "$.instances"),
+        ('{"steps": [{"what": "explode"}]}', "$.steps[0].what"),
+        ('{"steps": [{"what": "kill"}]}', "$.steps[0].whom"),
+        ('{"steps": [{"what": "kill", "whom": [9]}]}', "$.steps[0].whom"),
+        ('{"steps": [{"what": "split", "parts": [[1]]}]}', "$.steps[0].parts"),
+        ('{"steps": [{"what": "lose", "size": 2}]}', "$.steps[0].size"),
+        ('{"steps": [{"wait": "5"}]}', "$.steps[0].wait"),
+        ('{"stepps": []}', "stepps"),
+    ],
+)
+def test_a_faulty_file_is_told_by_its_path(text, path):
+    with pytest.raises(ValueError, match=path.replace("$", r"\$").replace("[", r"\[")):
+        script.decode(text.encode())
+
+
+def test_a_script_is_the_same_after_it_was_written_and_read():
+    assert script.decode(script.encode(script.draw(3, 9))) == script.draw(3, 9)
