Rig of real processes: relays with faults between instances, a witness, traffic; rig run and model

The rig's own lateness counts as a cut of all ways. Upstreams, clients and the list are the emulator's peers; rules checked from what they saw.

--- a/dahliabend/cli/commands.py
+++ b/dahliabend/cli/commands.py
@@ -11,6 +11,7 @@
     "explain": "dahliabend.cli.routes:explain",
     "diff": "dahliabend.cli.routes:diff",
     "members": "dahliabend.cli.members:members",
+    "rig": "dahliabend.cli.rig:rig",
 }
 HELP = {
     "emulate": "The network code on a virtual clock, against faults from seeds or files.",
@@ -19,6 +20,7 @@
     "explain": "Which route a request takes, why, what will be tried and for how long.",
     "diff": "What a reload from one file to another would change.",
     "members": "Who else balances: alive, suspected, gone, by whom and since when.",
+    "rig": "Real processes of the program on loopback, with faults between them.",
 }
 
 
