--- a/dahliabend/members/machine.py
+++ b/dahliabend/members/machine.py
@@ -249,7 +249,9 @@
         if late > period:
             self.paused(now)
         elif late > self.terms.late * period:
+            # A refutation may lie unread in its socket, and its timer rings first: it reads before it buries.
             self.doubt(1)
+            self.asking = max(self.asking, now + round(self.terms.late * period))
         for number in [n for n, (_, _, until) in self.relayed.items() if until <= now]:
             source, theirs, _ = self.relayed.pop(number)
             self.send(source, Nack(theirs))
@@ -262,15 +264,11 @@
             self.doubt(max(1, probe.owed))
             self.accuse(now, probe.name)
         for name in list(self.suspects):
-            member = self.members[name]
-            if now >= self.ends(member):
-                if now < self.asking:
-                    member.until = now  # it has just come back to itself, and does not know yet
-                else:
-                    self.bury(now, member)
+            if now >= max(self.asking, self.ends(self.members[name])):
+                self.bury(now, self.members[name])
         if now >= self.beat:
             self.on_beat(now)
-        open_ends = [self.ends(self.members[name]) for name in self.suspects]
+        open_ends = [max(self.asking, self.ends(self.members[name])) for name in self.suspects]
         if self.probe:
             open_ends += [self.probe.asks or self.probe.ends, self.probe.ends]
         open_ends += [until for _, _, until in self.relayed.values()]
