--- /dev/null
+++ b/tests/members/test_sockets.py
@@ -0,0 +1,214 @@
+"""The socket around the machine, the table of the file, and what a process leaves for the next."""
+
+import asyncio
+import json
+from random import Random
+
+import msgspec
+import pytest
+
+from dahliabend.members import wire
+from dahliabend.members.machine import Machine, Terms
+from dahliabend.members.seal import Seal, key
+from dahliabend.members.shell import Shell
+from dahliabend.net.program.fleet import Fleet
+from dahliabend.net.transport import machine as computer
+from dahliabend.net.transport.deadlines import Deadlines
+from dahliabend.net.transport.descriptors import Descriptors
+from dahliabend.rig.processes import free_ports
+from dahliabend.routes.plan import passed_over, plan
+from dahliabend.settings.types import Members
+from dahliabend.settings.units import Span
+
+OLD, NEW = b"o" * 32, b"n" * 32
+TERMS = Terms(period=100_000)
+
+
+async def until(check):
+    """Its first true value; the bound is far off."""
+    for _ in range(3_000):
+        if value := check():
+            return value
+        await asyncio.sleep(0.005)
+    raise AssertionError("never came")
+
+
+async def shell(port, seeds, keys=(OLD,)):
+    place = f"127.0.0.1:{port}"
+    machine = Machine(f"b{port}", 1, place, TERMS, Random(port))
+    made = Shell(machine, Seal(list(keys)), Deadlines(asyncio.get_running_loop()), lambda event: None)
+    await made.open(("127.0.0.1", port), seeds)
+    return made
+
+
+def names(made):
+    return made.machine.view(0).names()
+
+
+def test_two_meet_on_sockets_and_a_key_is_replaced_without_losing_each_other():
+    async def play():
+        one_port, other_port = free_ports(2)
+        one = await shell(one_port, [])
+        other = await shell(other_port, [f"127.0.0.1:{one_port}"])
+        await until(lambda: len(names(one)) == len(names(other)) == 2)
+        for keys in ([OLD, NEW], [NEW, OLD], [NEW]):
+            for each in (one, other):
+                each.seal = Seal(keys)
+                come = [each.come for each in (one, other)]
+                await until(lambda come=come: one.come > come[0] + 2 and other.come > come[1] + 2)
+        assert not one.machine.refused["foreign"] and len(names(one)) == len(names(other)) == 2
+        one.close()
+        other.close()
+        assert not one.deadlines.heap or all(entry[2] is None for entry in one.deadlines.heap)
+
+    asyncio.run(play())
+
+
+def test_what_no_member_says_is_counted_by_kind_and_dropped():
+    async def play():
+        (port,) = free_ports(1)
+        made = await shell(port, [])
+        ping, _ = wire.encode("x", 1, 1, wire.Ping(1, made.machine.name), [])
+        own, other = Seal([OLD]), Seal([NEW])
+        source = ("127.0.0.1", 9)
+        for data in (b"", b"junk", other.close(ping), ping, own.close(ping) + b"x"):
+            made.datagram_received(data, source)
+        made.datagram_received(b"x" * 1_401, source)
+        made.datagram_received(own.close(ping[:1] + b"\x05" + ping[2:]), source)
+        made.datagram_received(own.close(b"\x00"), source)
+        for _ in range(3):
+            made.datagram_received(own.close(ping), source)
+        counted = made.machine.refused
+        assert counted == {"foreign": 5, "oversized": 1, "newer": 1, "unreadable": 1, "replayed": 2}
+        made.close()
+
+    asyncio.run(play())
+
+
+def test_an_address_that_cant_be_had_is_an_error_and_leaves_nothing_open():
+    async def play():
+        (port,) = free_ports(1)
+        first = await shell(port, [])
+        with pytest.raises(OSError):
+            await shell(port, [])
+        first.close()
+
+    asyncio.run(play())
+
+
+FILE = """
+[members]
+name = "b1"
+address = "127.0.0.1:7946"
+key-files = ["key"]
+{}
+[listeners.callers]
+address = "127.0.0.1:8080"
+[pools.p]
+members = [{{ id = "u", address = "127.0.0.1:9" }}]
+[classes.q]
+effect = "idempotent"
+service-goal = "1s"
+hard-limit = "2s"
+[[routes]]
+name = "r"
+class = "q"
+pool = "p"
+"""
+
+
+def planned(folder, more="", secret="k" * 32):
+    (folder / "key").write_text(secret + "\n")
+    path = folder / "file.toml"
+    path.write_text(FILE.format(more))
+    return plan(str(path))
+
+
+def test_a_sound_table_is_taken(tmp_path):
+    assert planned(tmp_path, 'weight = 2.0\nperiod = "200ms"\ncut = "40%"').usable
+
+
+@pytest.mark.parametrize(
+    ("more", "says"),
+    [
+        ('seeds = ["nowhere"]', "file.toml:6: members.seeds[0]: 'nowhere' is not an IPv4 address and port"),
+        ('advertise = "1.2.3.4"', "file.toml:6: members.advertise: '1.2.3.4' is not"),
+        ("weight = 0.0", "file.toml:6: members.weight: 0 is not between"),
+        ("weight = nan", "file.toml:6: members.weight: nan is not between"),
+        ('period = "1ms"', "file.toml:6: members.period: 1ms is not between 20ms and 60s"),
+        ("period = 2", "file.toml:6: members.period: 2 has no unit"),
+        ('forget = "5s"', "file.toml:6: members.forget: 5s is less than a hundred periods"),
+        ('cut = "100%"', "file.toml:6: members.cut: 100% is not between 0 and 1"),
+        ('zone = "' + "z" * 65 + '"', "file.toml:6: members.zone:"),
+        ("zones = 3", "file.toml:6: members.zones: is no key here; is 'zone' meant?"),
+    ],
+)
+def test_a_fault_of_the_table_is_told_by_file_line_key_and_reason(tmp_path, more, says):
+    (fault,) = planned(tmp_path, more).faults
+    assert str(fault).removeprefix(f"{tmp_path}/").startswith(says)
+
+
+def test_keys_that_are_missing_or_short_are_faults_of_the_file(tmp_path):
+    (fault,) = planned(tmp_path, secret="short").faults
+    assert "members.key-files[0]: key: 5 bytes; a key has 32 at least" in str(fault)
+    (tmp_path / "key").unlink()
+    (fault,) = plan(str(tmp_path / "file.toml")).faults
+    assert "members.key-files[0]: key can't be read: No such file" in str(fault)
+    with pytest.raises(ValueError, match="31 bytes"):
+        key(b"k" * 31)
+
+
+def test_a_reload_takes_over_seeds_weight_and_keys_and_passes_over_the_rest():
+    assert not any(passed_over(f"members.{name}") for name in ("zone", "weight", "seeds[1]", "key-files[0]"))
+    assert all(passed_over(f"members.{name}") for name in ("name", "address", "period", "keep"))
+
+
+def fleet(folder, **more):
+    (folder / "key").write_text("k" * 32)
+    settings = Members(address="127.0.0.1:7946", name="b1", key_files=["key"], keep="b1.keep", **more)
+    lines = []
+    loop = asyncio.new_event_loop()
+    try:
+        made = Fleet(settings, str(folder), Deadlines(loop), Descriptors(64), 1,
+                     lambda event, **fields: lines.append((event, fields)))  # fmt: skip
+    finally:
+        loop.close()
+    return made, lines
+
+
+def test_a_successor_goes_on_from_what_was_kept_if_it_is_soon_and_else_only_asks_those_known(tmp_path):
+    before, _ = fleet(tmp_path)
+    known = before.machine.me.__class__("b2", 1, 0, wire.Standing.ALIVE, "127.0.0.1:7947")
+    before.machine.put(1, known, "joined")
+    before.keep(handed=True)
+    after, _ = fleet(tmp_path)
+    assert after.kept.handed and after.seeds() == ["127.0.0.1:7947"]
+    for step in (-3_600_000_000, 3_600_000_000):  # a wall clock that was set by an hour, either way
+        kept = json.loads((tmp_path / "b1.keep").read_text())
+        kept["at"] = computer.wall() // 1000 + step
+        (tmp_path / "b1.keep").write_bytes(msgspec.json.encode(kept))
+        later, _ = fleet(tmp_path)
+        assert not later.kept.handed and later.machine.life > before.machine.life
+        assert later.seeds() == ["127.0.0.1:7947"]
+
+
+@pytest.mark.parametrize("text", ["", "{", '{"name": 7}', "[]", '{"name": "b1"}'])
+def test_what_was_kept_and_cant_be_read_is_told_in_a_line_and_started_without(tmp_path, text):
+    (tmp_path / "b1.keep").write_text(text)
+    made, lines = fleet(tmp_path)
+    assert made.kept is None and [event for event, _ in lines] == ["handover.unread"]
+
+
+def test_what_another_has_kept_is_not_taken(tmp_path):
+    before, _ = fleet(tmp_path)
+    before.keep(handed=True)
+    made, lines = fleet(tmp_path, advertise="127.0.0.1:9999")
+    assert made.kept is None and "127.0.0.1:7946" in lines[0][1]["why"]
+
+
+def test_seeds_of_a_watched_file_come_and_go(tmp_path):
+    made, _ = fleet(tmp_path, seeds=["127.0.0.1:1"], period=Span(100_000))
+    made.told.listed([("b7", ("127.0.0.1", 7), 1, 0, 1.0, 0, "a")], full=True)
+    assert made.machine.seeds == ["127.0.0.1:1", "127.0.0.1:7"]
+    made.told.listed([], full=True)
+    assert made.machine.seeds == ["127.0.0.1:1"]
