--- /dev/null
+++ b/dahliabend/subsets/choice.py
@@ -0,0 +1,153 @@
+"""Who uses whom, and with which weight: a pure function of the view of balancers and the list of upstreams.
+
+Every balancer works out the whole relation for itself; those with the same view and list come to the same
+one. Whom each uses are its first by rendezvous (Thaler and Ravishankar, 1998): a pair has a rank drawn from
+both names, so that one that comes or goes moves few pairs besides its own. How much each sends whom is then
+fitted, so that the sums are even: proportional fitting (Deming and Stephan, 1940) on the pairs chosen.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from hashlib import blake2b
+
+import numpy as np
+
+LEAST = 12  # upstreams that a balancer uses, where there are so many
+DEGREE = 12  # balancers that use an upstream, in the mean at the least, where there are so many
+FITS = 60  # rounds of fitting at the most
+CLOSE = 1e-3  # of its share: how near to even the fitting comes
+
+
+@dataclass(frozen=True, slots=True)
+class Party:
+    """A balancer or an upstream. The weight is a balancer's demand, an upstream's capacity; any unit."""
+
+    name: str
+    zone: str = ""
+    weight: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Relation:
+    """A row a balancer, a column an upstream; a share of all demand each, that sums to 1."""
+
+    balancers: tuple[str, ...]
+    upstreams: tuple[str, ...]
+    shares: np.ndarray
+
+    def of(self, balancer: str) -> dict[str, float]:
+        """Its upstreams, with the part of its own demand that each gets."""
+        row = self.shares[self.balancers.index(balancer)]
+        total = row.sum() or 1.0
+        return {name: float(part / total) for name, part in zip(self.upstreams, row, strict=True) if part > 0}
+
+    def pairs(self) -> set[tuple[str, str]]:
+        rows, columns = np.nonzero(self.shares)
+        return {(self.balancers[r], self.upstreams[c]) for r, c in zip(rows, columns, strict=True)}
+
+
+def seeds(names: Sequence[str]) -> np.ndarray:
+    """Eight bytes for each name."""
+    digests = b"".join(blake2b(name.encode(), digest_size=8).digest() for name in names)
+    return np.frombuffer(digests, dtype=np.uint64)
+
+
+def ranks(balancers: Sequence[str], upstreams: Sequence[str]) -> np.ndarray:
+    """A number from 0 to 1 for each pair: splitmix64's mixing (Steele and others, 2014) of both seeds."""
+    with np.errstate(over="ignore"):
+        mixed = seeds(balancers)[:, None] ^ (seeds(upstreams)[None, :] * np.uint64(0x9E3779B97F4A7C15))
+        mixed = (mixed ^ (mixed >> np.uint64(30))) * np.uint64(0xBF58476D1CE4E5B9)
+        mixed = (mixed ^ (mixed >> np.uint64(27))) * np.uint64(0x94D049BB133111EB)
+        mixed ^= mixed >> np.uint64(31)
+    return (mixed >> np.uint64(11)).astype(np.float64) / (1 << 53)
+
+
+def sizes(names: Sequence[str], demand: np.ndarray, upstreams: int, least: int) -> np.ndarray:
+    """How many upstreams each balancer uses: the least, and enough that all are used by several; more for one
+    with more demand. Parts of one are drawn by name: where the figure moves a little, few change by one."""
+    count = len(names)
+    each = np.maximum(least, DEGREE * upstreams / count * np.maximum(1.0, demand * count))
+    drawn = seeds(names) / 2.0**64
+    return np.minimum(upstreams, np.floor(each + drawn)).astype(int)
+
+
+def first(rank: np.ndarray, size: np.ndarray) -> np.ndarray:
+    """The pairs in use: of each row the highest ranks, as many as it uses."""
+    places = rank.shape[1] - size
+    ordered = np.partition(rank, np.unique(places), axis=1)
+    return rank >= ordered[np.arange(len(size)), places][:, None]
+
+
+def fit(taken: np.ndarray, demand: np.ndarray, capacity: np.ndarray) -> np.ndarray:
+    """Shares on the pairs taken whose rows sum to the demands and whose columns to the capacities, as near as
+    these pairs allow."""
+    rows, columns = np.nonzero(taken)
+    shares = demand[rows] * capacity[columns]
+
+    def of_rows() -> np.ndarray:
+        return demand / np.maximum(np.bincount(rows, shares, len(demand)), 1e-300)
+
+    for _ in range(FITS):
+        shares *= of_rows()[rows]
+        sums = np.bincount(columns, shares, len(capacity))
+        if np.abs(sums / capacity - 1).max() <= CLOSE:
+            break
+        shares *= (capacity / np.maximum(sums, 1e-300))[columns]
+    shares *= of_rows()[rows]
+    made = np.zeros(taken.shape)
+    made[rows, columns] = shares
+    return made
+
+
+def flows(demand: dict[str, float], capacity: dict[str, float]) -> dict[tuple[str, str], float]:
+    """What of each zone's demand goes to which zone: at home first, what home can't bear to those that have
+    room, by their room. Both sum to 1."""
+    made = {(zone, zone): min(demand[zone], capacity.get(zone, 0.0)) for zone in demand}
+    rest = {zone: demand[zone] - made[zone, zone] for zone in demand}
+    room = {zone: capacity[zone] - made.get((zone, zone), 0.0) for zone in capacity}
+    spare = sum(room.values())
+    for source, left in rest.items():
+        for target, free in room.items():
+            if left > 1e-12 and free > 1e-12 and source != target:
+                made[source, target] = left * free / spare
+    return {key: part for key, part in made.items() if part > 1e-12}
+
+
+def choose(
+    balancers: Sequence[Party], upstreams: Sequence[Party], least: int = LEAST, zones: bool = False
+) -> Relation:
+    """The whole relation. With `zones` a balancer uses those of its own zone, and others only for what these
+    can't bear. Never empty where there is an upstream; names are told apart, order does not matter."""
+    balancers = sorted(balancers, key=lambda party: party.name)
+    upstreams = sorted(upstreams, key=lambda party: party.name)
+    rows, columns = (tuple(party.name for party in each) for each in (balancers, upstreams))
+    shares = np.zeros((len(rows), len(columns)))
+    if not rows or not columns:
+        return Relation(rows, columns, shares)
+    demand, capacity = parts(balancers), parts(upstreams)
+    if not zones:
+        return Relation(rows, columns, block(rows, columns, demand, capacity, least))
+    of_row, of_column = ([party.zone for party in each] for each in (balancers, upstreams))
+    for (source, target), part in flows(sums(of_row, demand), sums(of_column, capacity)).items():
+        here = np.array([n for n, zone in enumerate(of_row) if zone == source])
+        there = np.array([n for n, zone in enumerate(of_column) if zone == target])
+        own, theirs = demand[here] / demand[here].sum(), capacity[there] / capacity[there].sum()
+        names = [rows[n] for n in here], [columns[n] for n in there]
+        shares[np.ix_(here, there)] += part * block(*names, own, theirs, least)
+    return Relation(rows, columns, shares)
+
+
+def block(rows, columns, demand: np.ndarray, capacity: np.ndarray, least: int) -> np.ndarray:
+    return fit(first(ranks(rows, columns), sizes(rows, demand, len(columns), least)), demand, capacity)
+
+
+def parts(parties: Sequence[Party]) -> np.ndarray:
+    weights = np.array([party.weight if party.weight > 0 else 1.0 for party in parties], dtype=float)
+    return weights / weights.sum()
+
+
+def sums(zones: list[str], weights: np.ndarray) -> dict[str, float]:
+    made: dict[str, float] = {}
+    for zone, weight in zip(zones, weights, strict=True):
+        made[zone] = made.get(zone, 0.0) + float(weight)
+    return made
--- a/tests/members/test_sockets.py
+++ b/tests/members/test_sockets.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from dahliabend.emulator.peers.discovery import Agent, Registry
 from dahliabend.members import wire
 from dahliabend.members.machine import Machine, Terms
 from dahliabend.members.seal import Seal, key
@@ -206,6 +207,29 @@
     assert made.kept is None and "127.0.0.1:7946" in lines[0][1]["why"]
 
 
+def test_seeds_come_from_the_discovery_list(tmp_path):
+    async def play():
+        loop = asyncio.get_running_loop()
+        registry, (port, own) = Registry(), free_ports(2)
+        registry.put({"id": "b7", "addr": "127.0.0.1:7", "state": "up", "zone": "a"})
+        agent = Agent(registry, loop, lambda *_: None, Random(1), 1_000)
+        await agent.open("127.0.0.1", port)
+        (tmp_path / "key").write_text("k" * 32)
+        table = Members(
+            address=f"127.0.0.1:{own}", name="b1", key_files=["key"], seeds_discovery=f"127.0.0.1:{port}"
+        )
+        made = Fleet(table, str(tmp_path), Deadlines(loop), Descriptors(64), 1, lambda *_, **__: None)
+        await made.open()
+        await until(lambda: made.machine.seeds == ["127.0.0.1:7"])
+        registry.put({"id": "b7", "addr": "127.0.0.1:7", "state": "removed", "zone": "a"})
+        await until(lambda: made.machine.seeds == [])
+        made.close()
+        for server in agent.servers:
+            server.close()
+
+    asyncio.run(play())
+
+
 def test_seeds_of_a_watched_file_come_and_go(tmp_path):
     made, _ = fleet(tmp_path, seeds=["127.0.0.1:1"], period=Span(100_000))
     made.told.listed([("b7", ("127.0.0.1", 7), 1, 0, 1.0, 0, "a")], full=True)
