Subsets at work in a pool: kept gently over time, by members' settled view, seen at the door

Each upstream has its own two first balancers besides: few balancers with small subsets left one to nobody.

--- a/dahliabend/cli/commands.py
+++ b/dahliabend/cli/commands.py
@@ -12,6 +12,7 @@
     "diff": "dahliabend.cli.routes:diff",
     "members": "dahliabend.cli.members:members",
     "rig": "dahliabend.cli.rig:rig",
+    "subset": "dahliabend.cli.subset:subset",
 }
 HELP = {
     "emulate": "The network code on a virtual clock, against faults from seeds or files.",
@@ -21,6 +22,7 @@
     "diff": "What a reload from one file to another would change.",
     "members": "Who else balances: alive, suspected, gone, by whom and since when.",
     "rig": "Real processes of the program on loopback, with faults between them.",
+    "subset": "Who of many balancers uses which upstreams, and what an event moves.",
 }
 
 
--- a/dahliabend/emulator/fleets/script.py
+++ b/dahliabend/emulator/fleets/script.py
@@ -53,6 +53,7 @@
     zones: int = 1
     late: list[int] = []  # not started at first
     delay: Span = Span(MS)  # of a datagram, in the mean
+    subset: int = 0  # between processes: the least, and the degree, of the pool's subsets; 0: none
     steps: list[Step] = []
     why: str = ""
 
--- a/dahliabend/net/program/events.py
+++ b/dahliabend/net/program/events.py
@@ -89,6 +89,12 @@
     "reloaded": Event("info", "a file was taken over", ("discovery", "debug", "changes", "passed_over")),
     "rolled_back": Event("info", "a transaction was answered with trying again is harmless", ENDED),
     "stopping": Event("info", "SIGTERM came", ("held",)),
+    "subset": Event(
+        "info",
+        "the upstreams of a pool that this balancer uses have changed; `by` members, both (a view that may "
+        "be cut off and the last sure one) or its own name",
+        ("size", "of", "added", "dropped", "by", "balancers"),
+    ),
     "switched": Event("info", "other settings are in force", ("held", "kept", "afresh")),
     "unmet": Event("warning", "settings that are read and not acted on", ("settings",)),
     "watch.broken": Event("warning", "the watch of the list said what can't be read", ("why",)),
--- /dev/null
+++ b/dahliabend/net/program/narrowed.py
@@ -0,0 +1,102 @@
+"""A pool's list, narrowed to this balancer's subset before the decisions hear of it.
+
+Imported only where a pool has `subset`: nothing else pays for it.
+"""
+
+from collections.abc import Callable
+
+from dahliabend.model import State
+from dahliabend.net.routing.router import Router
+from dahliabend.net.transport.deadlines import Deadlines, clock
+from dahliabend.settings import types
+from dahliabend.subsets.choice import Party
+from dahliabend.subsets.keeper import Keeper, Subset, Terms
+
+LOOK = 250_000  # how often it looks whether something has to move
+
+
+class Narrowed:
+    """Stands between a pool's list and its router, as the list's reader. `fleet` tells who balances."""
+
+    def __init__(
+        self, router: Router, settings: types.Subset, balancers: int, fleet, name: str, deadlines: Deadlines,
+        log: Callable,
+    ) -> None:  # fmt: skip
+        self.router, self.fleet, self.deadlines, self.log = router, fleet, deadlines, log
+        self.rows: dict[str, tuple] = {}  # by id, all that the list has
+        self.now: Subset = Subset()
+        own = fleet.settings if fleet is not None else None
+        me = Party(fleet.name if own else name, own.zone if own else "", own.weight if own else 1.0)
+        terms = Terms(
+            least=settings.least,
+            degree=settings.degree,
+            zones=settings.zones,
+            balancers=balancers,
+            hold=settings.hold,
+        )
+        self.keeper = Keeper(me, terms)
+        self.timer: list | None = None
+        self.look()
+
+    def listed(self, rows: list[tuple], full: bool) -> None:
+        if full:
+            self.rows = {}
+        for row in rows:
+            if row[2] is State.GONE:
+                self.rows.pop(row[0], None)
+            else:
+                self.rows[row[0]] = row
+                self.router.yard.remember(row[0])  # an operator may take it out before it is in use
+        self.keeper.lists(
+            [Party(name, row[6], row[4]) for name, row in self.rows.items() if row[2] is State.READY]
+        )
+        self.move()
+        self.tell()  # drains of those in use are heard at once, whatever moves
+
+    def list_failed(self) -> None:
+        self.router.list_failed()
+
+    def look(self) -> None:
+        self.timer = self.deadlines.at(clock() + LOOK, self.look)
+        if self.move():
+            self.tell()
+
+    def move(self) -> bool:
+        now, fleet = clock(), self.fleet
+        if fleet is not None and (settled := fleet.settled()) is not None:
+            latest = fleet.view()
+            parties = [Party(m.name, m.zone, m.weight) for m in settled.members if m.state != "unreached"]
+            self.keeper.sees(now, parties, sure=not (settled.cut or latest.cut or latest.outcast))
+        balancer = self.router.balancer
+        if self.now.weights:
+            self.keeper.held_back(sum(not upstream.aside for upstream in balancer.ready))
+        made = self.keeper.step(now, frozenset(self.router.excluded & self.now.weights.keys()))
+        if made is None:
+            return False
+        self.now = made
+        self.log(
+            "subset", size=len(made.weights), of=len(self.rows), added=made.added[:20],
+            dropped=made.dropped[:20], by=made.by, balancers=made.balancers,
+        )  # fmt: skip
+        return True
+
+    def tell(self) -> None:
+        """One that leaves the subset is as gone to the decisions: nothing new, what is out ends there."""
+        known = self.router.yard.indices
+        rows = []
+        for name, row in self.rows.items():
+            weight = self.now.weights.get(name)
+            if weight is not None:
+                rows.append((*row[:4], weight, *row[5:]))
+            elif row[2] is not State.READY and name in known:
+                rows.append(row)  # it drains: kept until it is gone, for what is out there
+        self.router.listed(rows, full=True)
+
+    def stop(self) -> None:
+        self.deadlines.drop(self.timer)
+
+    def shown(self) -> dict:
+        made = self.now
+        weights = {name: round(weight, 4) for name, weight in sorted(made.weights.items())}
+        return {"size": len(made.weights), "of": len(self.rows), "by": made.by, "balancers": made.balancers,
+                "wider": self.keeper.wider, "weights": weights}  # fmt: skip
--- a/dahliabend/net/program/operations.py
+++ b/dahliabend/net/program/operations.py
@@ -26,6 +26,7 @@
             b"/api/evacuate": (b"PUT", self.evacuate),
             b"/api/rejoin": (b"PUT", self.rejoin),
             b"/api/members": (b"GET", self.members),
+            b"/api/subsets": (b"GET", self.subsets),
         }
 
     def __call__(self, method: bytes, path: bytes, body: bytes) -> Answer:
@@ -53,6 +54,9 @@
         shown = self.program.members()
         return said(404, error="there is no [members]") if shown is None else said(200, **shown)
 
+    def subsets(self, _: bytes) -> Answer:
+        return said(200, pools=self.program.subsets())
+
     def exclude(self, body: bytes, out: bool = True) -> Answer:
         try:
             target = orjson.loads(body)["target"]
--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -166,6 +166,10 @@
         """Who else balances, where that is known."""
         return None
 
+    def subsets(self) -> dict:
+        """By pool, the upstreams that this balancer uses, where it uses some."""
+        return {}
+
     def exclude(self, name: str, out: bool) -> bool:
         known = self.router.exclude(name, out)
         if known and self.handover is not None:
--- a/dahliabend/net/program/service.py
+++ b/dahliabend/net/program/service.py
@@ -4,6 +4,8 @@
 import os
 import signal
 from collections.abc import Iterator, Mapping
+from functools import partial
+from importlib.util import find_spec
 
 from dahliabend.config import REST, Node, address
 from dahliabend.model import Effect, Group, Profile, Settings
@@ -25,6 +27,7 @@
 from dahliabend.routes.checks import Effective, targets
 from dahliabend.routes.plan import Plan, diff, passed_over, plan
 from dahliabend.settings import types
+from dahliabend.settings.source import path_of
 from dahliabend.settings.types import File
 
 SOCKETS = 4096  # descriptors, where the environment says nothing
@@ -157,12 +160,8 @@
         """None where the file has no `[members]`: nothing of it is loaded then."""
         if made.file.members is None:
             return None
-        try:
-            from dahliabend.net.program.fleet import Fleet
-        except ModuleNotFoundError as error:
-            at = made.source.place(("members",))
-            wants = "pip install 'dahliabend[members]'"
-            raise Refused([f"{at.file}:{at.line}: members: {error.name} is missing: {wants}"]) from None
+        from dahliabend.net.program.fleet import Fleet
+
         folder = os.path.dirname(os.path.abspath(self.path))
         return Fleet(made.file.members, folder, self.deadlines, self.descriptors, self.seed, self.log)
 
@@ -177,6 +176,16 @@
         made = plan(self.path, environment=self.environment, read=machine.read_file)
         if not made.usable:
             raise Refused(made.faults)
+        wanted = [(("members",), "cryptography", "members")] if made.file.members is not None else []
+        wanted += [
+            (("pools", name, "subset"), "numpy", "subsets")
+            for name, pool in made.file.pools.items()
+            if pool.subset is not None
+        ]
+        for key, library, group in wanted:  # told here, whole: half taken over it would be found too late
+            if find_spec(library) is None:
+                at, wants = made.source.place(key), f"pip install 'dahliabend[{group}]'"
+                raise Refused([f"{at.file}:{at.line}: {path_of(key)}: {library} is missing: {wants}"])
         return made
 
     def listener_of(self, made: Plan, name: str) -> tuple[str, int] | None:
@@ -198,6 +207,7 @@
                 running.router.switch(node)
             running.router.access = file.log.access
             running.router.route_names = [file.routes[number].name for number in profiles[name]]
+            self.narrow(running, pool)
             self.list_of(running, pool)
         self.desk.use(file, profiles)
         for name in [name for name in self.desk.names if name not in file.pools]:
@@ -217,13 +227,36 @@
         yard.sweep()
         return self.desk.add(name, router)
 
+    def narrow(self, running: Pool, pool: types.Pool) -> None:
+        """Whether it uses some of its upstreams; a reload that changes it has the list read anew."""
+        if running.terms == pool.subset:
+            return
+        running.terms = pool.subset
+        if running.narrowed is not None:
+            running.narrowed.stop()
+        running.narrowed = None
+        if pool.subset is not None:
+            from dahliabend.net.program.narrowed import Narrowed
+
+            running.narrowed = Narrowed(
+                running.router, pool.subset, pool.balancers, self.fleet, f"{self.seed:x}", self.deadlines,
+                self.log.bind(pool=running.name) if isinstance(self.log, Structured) else self.log,
+            )  # fmt: skip
+        if running.router.discovery is not None:
+            running.router.discovery.stop()
+            running.router.discovery = None
+
+    def subsets(self) -> dict:
+        return {pool.name: pool.narrowed.shown() for pool in self.desk if pool.narrowed is not None}
+
     def list_of(self, running: Pool, pool: types.Pool) -> None:
         """Where its members come from, now. What is known of them stays."""
         router, before = running.router, running.router.discovery
+        reader = running.narrowed or router
         if pool.discovery is not None:
             if isinstance(before, Discovery):
                 return before.move(address(pool.discovery))
-            book = Book(router, self.log)
+            book = Book(reader, self.log)
             keeper = Discovery(
                 address(pool.discovery), book, self.deadlines, self.descriptors, router.yard.dial_time,
                 router.balancer.chance, self.log,
@@ -232,7 +265,7 @@
         else:
             keeper = before
             if not isinstance(before, ListFile):
-                keeper = ListFile(Book(router, self.log), self.deadlines, self.log)
+                keeper = ListFile(Book(reader, self.log), self.deadlines, self.log)
             if pool.members is not None:
                 keeper.stop()
                 keeper.say(rows_of(pool.members))
@@ -240,7 +273,12 @@
                 keeper.watch(os.path.join(os.path.dirname(self.path), pool.file))
         if before is not None and before is not keeper:
             before.stop()
-        router.discovery, running.stop = keeper, keeper.stop
+        router.discovery, running.stop = keeper, partial(self.stop_list, running, keeper)
+
+    def stop_list(self, running: Pool, keeper: Discovery | ListFile) -> None:
+        keeper.stop()
+        if running.narrowed is not None:
+            running.narrowed.stop()
 
     def open(self) -> None: ...
 
--- a/dahliabend/net/routing/desk.py
+++ b/dahliabend/net/routing/desk.py
@@ -54,6 +54,8 @@
     stop: Callable[[], None] = lambda: None
     file: str = ""
     retired: bool = False  # not in the file any more: it ends what it has
+    terms: object = None  # of its subset, where it has one
+    narrowed: object = None  # and what stands between its list and its router then
 
     @property
     def part_ready(self) -> float:
--- a/dahliabend/rig/play.py
+++ b/dahliabend/rig/play.py
@@ -50,6 +50,7 @@
         self.traffic: Traffic | None = None
         self.watching: asyncio.Task | None = None
         self.zero = 0.0
+        self.shown: dict[str, dict] = {}  # the subset of each at the end
 
     @property
     def now(self) -> int:
@@ -105,6 +106,7 @@
                     await self.run(step.wait)
                     await self.until(step)
                 end = self.now
+                await self.look_at_subsets()
                 if self.traffic is not None:
                     await self.traffic.end()
             finally:
@@ -120,6 +122,14 @@
                 self.outcome.broken("rule", end, what)
         return self.outcome
 
+    async def look_at_subsets(self) -> None:
+        for instance in self.instances if self.fleet.subset else ():
+            if instance.alive and not instance.stopped:
+                said = await instance.ask("/api/subsets")
+                self.shown[instance.name] = (
+                    said["pools"]["main"] if said else {"weights": {}, "by": "nothing"}
+                )
+
     async def build(self, folder: Path) -> None:
         fleet = self.fleet
         self.relay.delay = fleet.delay
@@ -131,7 +141,11 @@
         own, rest = ports[: 3 * fleet.instances], ports[3 * fleet.instances :]
         self.traffic = Traffic(Random(f"traffic {fleet.seed}"), max(self.rate, 0.01), self.wanted, rest)
         await self.traffic.open()
-        text = CLASSES.format(discovery=joined_place(self.traffic.list_at), balancers=fleet.instances)
+        subset = f'[pools.main.subset]\nleast = {fleet.subset}\ndegree = {fleet.subset}\nhold = "5s"'
+        text = CLASSES.format(
+            discovery=joined_place(self.traffic.list_at), balancers=fleet.instances,
+            subset=subset if fleet.subset else "",
+        )  # fmt: skip
         for number in range(fleet.instances):
             made = Instance(number, folder, tuple(own[3 * number : 3 * number + 3]), self.heard)
             made.write(fleet, places, text)
--- a/dahliabend/rig/traffic.py
+++ b/dahliabend/rig/traffic.py
@@ -23,6 +23,7 @@
 balancers = {balancers}
 grace = "1500ms"
 cold = {{ share = "20%", time = "4s", multiple = 4.0 }}
+{subset}
 [classes.query]
 effect = "idempotent"
 service-goal = "1s"
@@ -55,6 +56,7 @@
         ]  # fmt: skip
         self.list_at = ("127.0.0.1", ports[upstreams])
         self.asked: dict[str, tuple[float, str, int]] = {}
+        self.served: Counter[str] = Counter()  # by upstream
         self.answers: Counter[str] = Counter()
         self.effects: Counter[str] = Counter()
         self.made: dict[str, set[bytes]] = {}
@@ -168,6 +170,7 @@
         elif kind == "effect":
             trace, upstream = values
             self.effects[trace] += 1
+            self.served[upstream] += 1
             at = self.draining.get(upstream)
             if at is not None and now > at + (GRACE + SLACK) / S:
                 self.broken.append(f"drain: {trace} ran at {upstream} {now - at:.2f} s after it was told")
--- a/dahliabend/routes/checks.py
+++ b/dahliabend/routes/checks.py
@@ -175,6 +175,9 @@
                 source.fault((*key, "fallback"), f"goes round: {' -> '.join(ring)}")
         if pool.balancers < 1:
             source.fault((*key, "balancers"), f"{pool.balancers} is not above 0")
+        for field in ("least", "degree", "hold") if pool.subset is not None else ():
+            if getattr(pool.subset, field) <= 0:
+                source.fault((*key, "subset", field), f"{getattr(pool.subset, field)} is not above 0")
         if pool.cold.multiple <= 1:
             source.fault((*key, "cold", "multiple"), f"{pool.cold.multiple:g} is not above 1")
         for field in ("idle", "dial_time", "grace"):
--- a/dahliabend/settings/types.py
+++ b/dahliabend/settings/types.py
@@ -56,6 +56,15 @@
     weight: float = 1.0
 
 
+class Subset(Table, kw_only=True):
+    """Of a pool's upstreams this balancer uses some, so that the choices of all add up."""
+
+    least: int = 12  # upstreams of each balancer
+    degree: int = 12  # balancers of each upstream, in the mean
+    zones: bool = False  # own zone first, others for what it can't bear
+    hold: Span = Span(60 * S)  # how long a view that may be of a part cut off narrows nothing
+
+
 class Pool(Table, kw_only=True):
     """Upstreams with one set of decisions. Exactly one of the first three says who they are."""
 
@@ -71,6 +80,7 @@
     dial_time: Span = Span(250 * MS)
     grace: Span = Span(1_500 * MS)  # after the news that one drains
     cold: Cold = msgspec.field(default_factory=Cold)
+    subset: Subset | None = None
 
 
 class Class(Treatment, kw_only=True):
--- a/dahliabend/subsets/choice.py
+++ b/dahliabend/subsets/choice.py
@@ -14,6 +14,7 @@
 
 LEAST = 12  # upstreams that a balancer uses, where there are so many
 DEGREE = 12  # balancers that use an upstream, in the mean at the least, where there are so many
+SURE = 2  # balancers that use an upstream whatever chance says: its own first ranks
 FITS = 60  # rounds of fitting at the most
 CLOSE = 1e-3  # of its share: how near to even the fitting comes
 
@@ -62,11 +63,11 @@
     return (mixed >> np.uint64(11)).astype(np.float64) / (1 << 53)
 
 
-def sizes(names: Sequence[str], demand: np.ndarray, upstreams: int, least: int) -> np.ndarray:
+def sizes(names: Sequence[str], demand: np.ndarray, upstreams: int, least: int, degree: int) -> np.ndarray:
     """How many upstreams each balancer uses: the least, and enough that all are used by several; more for one
     with more demand. Parts of one are drawn by name: where the figure moves a little, few change by one."""
     count = len(names)
-    each = np.maximum(least, DEGREE * upstreams / count * np.maximum(1.0, demand * count))
+    each = np.maximum(least, degree * upstreams / count * np.maximum(1.0, demand * count))
     drawn = seeds(names) / 2.0**64
     return np.minimum(upstreams, np.floor(each + drawn)).astype(int)
 
@@ -78,6 +79,12 @@
     return rank >= ordered[np.arange(len(size)), places][:, None]
 
 
+def covered(rank: np.ndarray) -> np.ndarray:
+    """And of each column the highest: few balancers with small subsets would leave one to nobody."""
+    sure = min(SURE, rank.shape[0])
+    return rank >= np.partition(rank, -sure, axis=0)[-sure]
+
+
 def fit(taken: np.ndarray, demand: np.ndarray, capacity: np.ndarray) -> np.ndarray:
     """Shares on the pairs taken whose rows sum to the demands and whose columns to the capacities, as near as
     these pairs allow."""
@@ -114,7 +121,11 @@
 
 
 def choose(
-    balancers: Sequence[Party], upstreams: Sequence[Party], least: int = LEAST, zones: bool = False
+    balancers: Sequence[Party],
+    upstreams: Sequence[Party],
+    least: int = LEAST,
+    zones: bool = False,
+    degree: int = DEGREE,
 ) -> Relation:
     """The whole relation. With `zones` a balancer uses those of its own zone, and others only for what these
     can't bear. Never empty where there is an upstream; names are told apart, order does not matter."""
@@ -126,19 +137,21 @@
         return Relation(rows, columns, shares)
     demand, capacity = parts(balancers), parts(upstreams)
     if not zones:
-        return Relation(rows, columns, block(rows, columns, demand, capacity, least))
+        return Relation(rows, columns, block(rows, columns, demand, capacity, least, degree))
     of_row, of_column = ([party.zone for party in each] for each in (balancers, upstreams))
     for (source, target), part in flows(sums(of_row, demand), sums(of_column, capacity)).items():
         here = np.array([n for n, zone in enumerate(of_row) if zone == source])
         there = np.array([n for n, zone in enumerate(of_column) if zone == target])
         own, theirs = demand[here] / demand[here].sum(), capacity[there] / capacity[there].sum()
         names = [rows[n] for n in here], [columns[n] for n in there]
-        shares[np.ix_(here, there)] += part * block(*names, own, theirs, least)
+        shares[np.ix_(here, there)] += part * block(*names, own, theirs, least, degree)
     return Relation(rows, columns, shares)
 
 
-def block(rows, columns, demand: np.ndarray, capacity: np.ndarray, least: int) -> np.ndarray:
-    return fit(first(ranks(rows, columns), sizes(rows, demand, len(columns), least)), demand, capacity)
+def block(rows, columns, demand: np.ndarray, capacity: np.ndarray, least: int, degree: int) -> np.ndarray:
+    rank = ranks(rows, columns)
+    taken = first(rank, sizes(rows, demand, len(columns), least, degree)) | covered(rank)
+    return fit(taken, demand, capacity)
 
 
 def parts(parties: Sequence[Party]) -> np.ndarray:
--- /dev/null
+++ b/dahliabend/subsets/keeper.py
@@ -0,0 +1,152 @@
+"""One balancer's subset over time: what it is to be, and by which steps it gets there. Free of I/O.
+
+A view that may be of a part cut off does not narrow anything: for a while the choice by the last sure one is
+kept beside it. Moves are gentle: new ones come in at a bounded rate, and old ones go only once as many new
+ones have been in use for a while; those that the list has lost go at once and are replaced at once.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from dahliabend.subsets.choice import DEGREE, LEAST, Party, choose, ranks
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """Spans in microseconds."""
+
+    least: int = LEAST
+    degree: int = DEGREE
+    zones: bool = False
+    balancers: int = 1  # how many there are, where no view tells
+    hold: int = 60_000_000  # how long a doubtful view narrows nothing
+    beat: int = 1_000_000
+    settle: int = 2_000_000  # how long new ones are in use before old ones go
+    pace: float = 1 / 8  # of the subset: how many may come, and go, in a beat
+    wide: float = 2.0  # times its size: the most that a subset is widened to
+    held: float = 1 / 2  # of the subset: fewer that can be sent to, and it widens
+
+
+@dataclass(slots=True)
+class Subset:
+    """In use now: a weight each, that sum to as many as there are."""
+
+    weights: dict[str, float] = field(default_factory=dict)
+    added: list[str] = field(default_factory=list)  # by the last step
+    dropped: list[str] = field(default_factory=list)
+    by: str = "name"  # members, both (doubtful: two views), name (no view)
+    balancers: int = 1
+
+
+class Keeper:
+    def __init__(self, me: Party, terms: Terms) -> None:
+        self.me, self.terms = me, terms
+        self.upstreams: dict[str, Party] = {}
+        self.sure: tuple[Party, ...] = ()
+        self.doubtful: tuple[Party, ...] = ()
+        self.doubted = 0  # since when
+        self.using: dict[str, int] = {}  # since when each
+        self.wanted: dict[str, float] = {}  # weights
+        self.order: list[str] = []  # all, by this one's own ranks
+        self.wider = 0  # how many more than wanted
+        self.next = 0  # when it may step again
+        self.stale = True
+        self.by, self.balancers = "name", terms.balancers
+
+    # What is told.
+
+    def sees(self, now: int, balancers: Sequence[Party], sure: bool) -> None:
+        """The settled view, this one in it. Not sure: it may be that of a part cut off, or old."""
+        told = tuple(sorted(balancers, key=lambda party: party.name))
+        if sure:
+            self.stale = self.stale or told != self.sure or bool(self.doubtful)
+            self.sure, self.doubtful = told, ()
+        elif told != self.doubtful:
+            self.doubted = self.doubted if self.doubtful else now
+            self.doubtful, self.stale = told, True
+
+    def lists(self, upstreams: Sequence[Party]) -> None:
+        """All that can be used, as the list has them."""
+        told = {party.name: party for party in upstreams}
+        if told != self.upstreams:
+            self.upstreams, self.stale = told, True
+
+    def held_back(self, usable: int) -> None:
+        """How many of those in use can be sent to now. Each widens along its own ranks: not all onto the same
+        few. It narrows again once enough of the wanted ones serve."""
+        size = max(1, len(self.wanted))
+        most = round(size * (self.terms.wide - 1))
+        if usable < self.terms.held * size and self.wider < most:
+            self.wider = min(most, self.wider + max(1, round(size * self.terms.pace)))
+        elif self.wider and usable >= size + self.wider - 1:
+            self.wider -= 1
+
+    # What comes of it.
+
+    def step(self, now: int, pinned: frozenset[str] = frozenset()) -> Subset | None:
+        """The subset, where it has changed. `pinned` are not dropped: an operator holds them."""
+        if self.doubtful and now >= self.doubted + self.terms.hold:
+            self.sure, self.doubtful, self.stale = self.doubtful, (), True
+        if self.stale:
+            self.target()
+        lost = [name for name in self.using if name not in self.upstreams]
+        wanted = self.widened()
+        if not lost and now < self.next and len(self.using) >= min(len(wanted), self.terms.least):
+            return None
+        self.next = now + self.terms.beat
+        for name in lost:
+            del self.using[name]
+        bound = max(1, round(len(wanted) * self.terms.pace))
+        missing = [name for name in wanted if name not in self.using]
+        lacking = len(wanted) - len(self.using)
+        added = missing[: max(bound, lacking)]
+        self.using.update(dict.fromkeys(added, now))
+        leaving = [name for name in self.using if name not in wanted and name not in pinned]
+        fresh = sum(now - since < self.terms.settle for since in self.using.values())
+        spare = max(0, min(bound, len(self.using) - fresh - (len(wanted) - bound)))
+        dropped = leaving[:spare] if not missing or len(self.using) > len(wanted) else []
+        for name in dropped:
+            del self.using[name]
+        if not (added or dropped or lost):
+            return None
+        return self.subset(added, lost + dropped)
+
+    def subset(self, added: list[str], dropped: list[str]) -> Subset:
+        mean = sum(self.wanted.values()) / max(1, len(self.wanted))
+        weights = {name: self.wanted.get(name, mean) for name in self.using}
+        scale = len(weights) / (sum(weights.values()) or 1.0)
+        made = {name: weight * scale for name, weight in weights.items()}
+        return Subset(made, added, dropped, self.by, self.balancers)
+
+    def widened(self) -> list[str]:
+        """The wanted ones, and the next of its own ranks."""
+        more = [name for name in self.order if name not in self.wanted][: self.wider]
+        return [*self.wanted, *more]
+
+    def target(self) -> None:
+        self.stale = False
+        names = sorted(self.upstreams)
+        own = ranks([self.me.name], names)[0] if names else ()
+        self.order = [name for _, name in sorted(zip(own, names, strict=True), reverse=True)]
+        views = [view for view in (self.sure, self.doubtful) if any(p.name == self.me.name for p in view)]
+        self.by = ("name", "members", "both")[len(views)]
+        self.balancers = max((len(view) for view in views), default=self.terms.balancers)
+        if not views:
+            return self.alone()
+        made: dict[str, float] = {}
+        for view in views:
+            terms, pool = self.terms, list(self.upstreams.values())
+            relation = choose(view, pool, terms.least, terms.zones, terms.degree)
+            for name, part in relation.of(self.me.name).items():
+                made[name] = made.get(name, 0.0) + part / len(views)
+        self.wanted = made
+
+    def alone(self) -> None:
+        """By the own name, and how many others there are said to be: as uneven as chance makes it."""
+        others = [Party(f"{self.me.name} {n}") for n in range(1, self.terms.balancers)]
+        size = len(
+            choose([self.me, *others], list(self.upstreams.values()), self.terms.least).of(self.me.name)
+        )
+        chosen = self.order[:size]
+        total = sum(self.upstreams[name].weight for name in chosen) or 1.0
+        self.wanted = {name: self.upstreams[name].weight / total for name in chosen}
