--- a/dahliabend/subsets/choice.py
+++ b/dahliabend/subsets/choice.py
@@ -15,6 +15,7 @@
 LEAST = 12  # upstreams that a balancer uses, where there are so many
 DEGREE = 12  # balancers that use an upstream, in the mean at the least, where there are so many
 SURE = 2  # balancers that use an upstream whatever chance says: its own first ranks
+BEARS = 11 / 10  # of its part of the capacity: what a zone takes at home before others take any
 FITS = 60  # rounds of fitting at the most
 CLOSE = 1e-3  # of its share: how near to even the fitting comes
 
@@ -85,11 +86,11 @@
     return rank >= np.partition(rank, -sure, axis=0)[-sure]
 
 
-def fit(taken: np.ndarray, demand: np.ndarray, capacity: np.ndarray) -> np.ndarray:
-    """Shares on the pairs taken whose rows sum to the demands and whose columns to the capacities, as near as
-    these pairs allow."""
-    rows, columns = np.nonzero(taken)
-    shares = demand[rows] * capacity[columns]
+def fit(start: np.ndarray, demand: np.ndarray, capacity: np.ndarray) -> np.ndarray:
+    """Shares on the pairs that have one at the start, whose rows sum to the demands and whose columns to the
+    capacities, as near as these pairs allow."""
+    rows, columns = np.nonzero(start)
+    shares = start[rows, columns]
 
     def of_rows() -> np.ndarray:
         return demand / np.maximum(np.bincount(rows, shares, len(demand)), 1e-300)
@@ -101,17 +102,22 @@
             break
         shares *= (capacity / np.maximum(sums, 1e-300))[columns]
     shares *= of_rows()[rows]
-    made = np.zeros(taken.shape)
+    made = np.zeros(start.shape)
     made[rows, columns] = shares
     return made
 
 
 def flows(demand: dict[str, float], capacity: dict[str, float]) -> dict[tuple[str, str], float]:
     """What of each zone's demand goes to which zone: at home first, what home can't bear to those that have
-    room, by their room. Both sum to 1."""
-    made = {(zone, zone): min(demand[zone], capacity.get(zone, 0.0)) for zone in demand}
+    room, by their room. Both sum to 1. A little too much stays at home: one balancer that comes or goes would
+    open or close ways between all zones.
+
+    >>> flows({"a": 0.52, "b": 0.48}, {"a": 0.5, "b": 0.5})
+    {('a', 'a'): 0.52, ('b', 'b'): 0.48}
+    """
+    made = {(zone, zone): min(demand[zone], BEARS * capacity.get(zone, 0.0)) for zone in demand}
     rest = {zone: demand[zone] - made[zone, zone] for zone in demand}
-    room = {zone: capacity[zone] - made.get((zone, zone), 0.0) for zone in capacity}
+    room = {zone: max(0.0, capacity[zone] - made.get((zone, zone), 0.0)) for zone in capacity}
     spare = sum(room.values())
     for source, left in rest.items():
         for target, free in room.items():
@@ -139,19 +145,32 @@
     if not zones:
         return Relation(rows, columns, block(rows, columns, demand, capacity, least, degree))
     of_row, of_column = ([party.zone for party in each] for each in (balancers, upstreams))
-    for (source, target), part in flows(sums(of_row, demand), sums(of_column, capacity)).items():
+    asked = sums(of_row, demand)
+    ways = flows(asked, sums(of_column, capacity))
+    for (source, target), part in ways.items():
         here = np.array([n for n, zone in enumerate(of_row) if zone == source])
         there = np.array([n for n, zone in enumerate(of_column) if zone == target])
         own, theirs = demand[here] / demand[here].sum(), capacity[there] / capacity[there].sum()
         names = [rows[n] for n in here], [columns[n] for n in there]
-        shares[np.ix_(here, there)] += part * block(*names, own, theirs, least, degree)
+        # What goes elsewhere is a part of each one's demand, and wants that part of the connections.
+        some = 1.0 if source == target else part / asked[source]
+        sized = max(1, round(least * some)), max(SURE, round(degree * some))
+        shares[np.ix_(here, there)] += part * block(*names, own, theirs, *sized)
+    # Once more over all zones: what comes from elsewhere, by few ways, is evened out by those at home.
+    into = {target: 0.0 for target in of_column}
+    for (_, target), part in ways.items():
+        into[target] += part
+    room = sums(of_column, capacity)
+    targets = np.array([into[zone] * capacity[n] / room[zone] for n, zone in enumerate(of_column)])
+    used = targets > 0
+    shares[:, used] = fit(shares[:, used], demand, targets[used])
     return Relation(rows, columns, shares)
 
 
 def block(rows, columns, demand: np.ndarray, capacity: np.ndarray, least: int, degree: int) -> np.ndarray:
     rank = ranks(rows, columns)
     taken = first(rank, sizes(rows, demand, len(columns), least, degree)) | covered(rank)
-    return fit(taken, demand, capacity)
+    return fit(taken * demand[:, None] * capacity[None, :], demand, capacity)
 
 
 def parts(parties: Sequence[Party]) -> np.ndarray:
--- /dev/null
+++ b/tests/subsets/test_narrowed.py
@@ -0,0 +1,108 @@
+"""The list on its way to the decisions: only the subset, drains at once, and faults of the table."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from dahliabend.model import State
+from dahliabend.net.program.narrowed import Narrowed
+from dahliabend.routes.plan import plan
+from dahliabend.settings.types import Subset
+
+
+class Router:
+    """Writes down what it is told."""
+
+    def __init__(self):
+        self.told, self.excluded, self.failed = [], set(), 0
+        self.yard = SimpleNamespace(
+            indices={}, once={}, remember=lambda name: self.yard.once.update({name: None})
+        )
+        self.balancer = SimpleNamespace(ready=[])
+
+    def listed(self, rows, full):
+        assert full
+        self.told.append({row[0]: row for row in rows})
+        self.yard.indices = dict.fromkeys(row[0] for row in rows)
+        self.balancer.ready = [SimpleNamespace(aside=False) for row in rows]
+
+    def list_failed(self):
+        self.failed += 1
+
+
+def rows(numbers, state=State.READY):
+    return [(f"u{n}", ("127.0.0.1", 1 + n), state, 0, 1.0, 0, "a") for n in numbers]
+
+
+def narrowed(**more):
+    router, deadlines = (
+        Router(),
+        SimpleNamespace(at=lambda when, call: [when, 0, call, ()], drop=lambda entry: None),
+    )
+    made = Narrowed(router, Subset(**more), 20, None, "me", deadlines, lambda *_, **__: None)
+    return made, router
+
+
+def test_only_the_subset_is_told_and_the_rest_is_known_to_operators():
+    made, router = narrowed(least=6, degree=4)
+    made.listed(rows(range(30)), full=True)
+    assert set(router.told[-1]) == set(made.now.weights) and 6 <= len(router.told[-1]) < 30
+    assert set(router.yard.once) == {f"u{n}" for n in range(30)}
+    assert made.shown()["by"] == "name" and made.shown()["of"] == 30
+
+
+def test_a_drain_of_one_in_use_is_told_at_once_and_of_another_not_at_all():
+    made, router = narrowed(least=6, degree=4)
+    made.listed(rows(range(30)), full=True)
+    used, other = (int(name[1:]) for name in (sorted(made.now.weights)[0],
+                   sorted({f"u{n}" for n in range(30)} - made.now.weights.keys())[0]))  # fmt: skip
+    made.listed(rows([used, other], State.DRAINING), full=False)
+    assert router.told[-1][f"u{used}"][2] is State.DRAINING and f"u{other}" not in router.told[-1]
+    made.listed(rows([used], State.GONE), full=False)
+    assert f"u{used}" not in router.told[-1] and len(router.told[-1]) >= 6
+
+
+def test_one_that_was_taken_out_by_an_operator_is_held():
+    made, router = narrowed(least=6, degree=4)
+    made.listed(rows(range(30)), full=True)
+    name = sorted(made.now.weights)[0]
+    router.excluded.add(name)
+    made.listed(rows(range(100, 130)) + rows([int(name[1:])]), full=True)
+    assert name in router.told[-1]
+
+
+def test_a_list_that_fails_is_passed_on():
+    made, router = narrowed()
+    made.list_failed()
+    assert router.failed == 1
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("least = 0", "pools.p.subset.least: 0 is not above 0"),
+        ("degree = -1", "pools.p.subset.degree: -1 is not above 0"),
+        ('hold = "0s"', "pools.p.subset.hold: 0s is not above 0"),
+        ("hold = 5", "pools.p.subset.hold: 5 has no unit"),
+        ("size = 5", "pools.p.subset.size: is no key here"),
+    ],
+)
+def test_a_fault_of_the_table_is_told_by_line(tmp_path, text, says):
+    path = tmp_path / "file.toml"
+    path.write_text(f"""[listeners.callers]
+address = "127.0.0.1:8080"
+[pools.p]
+members = [{{ id = "u", address = "127.0.0.1:9" }}]
+[pools.p.subset]
+{text}
+[classes.q]
+effect = "idempotent"
+service-goal = "1s"
+hard-limit = "2s"
+[[routes]]
+name = "r"
+class = "q"
+pool = "p"
+""")
+    (fault,) = plan(str(path)).faults
+    assert str(fault).startswith(f"{path}:6: {says}")
