--- a/dahliabend/emulator/fleets/script.py
+++ b/dahliabend/emulator/fleets/script.py
@@ -5,14 +5,13 @@
 same, and each other). A condition that does not come within its time is a broken rule.
 """
 
-from pathlib import Path
 from random import Random
 from typing import Literal
 
 import msgspec
 
-from dahliabend.emulator.script import _plain
-from dahliabend.settings import units
+from dahliabend.emulator import script as scenarios
+from dahliabend.emulator.script import Table, plain
 from dahliabend.settings.units import Span
 
 MS, S = 1_000, 1_000_000
@@ -26,11 +25,7 @@
 WAYS = {"cut", "split", "lose", "delay", "double"}  # these change ways between them
 
 
-class _Table(msgspec.Struct, rename="kebab", forbid_unknown_fields=True, omit_defaults=True):
-    """A key that is not known is a fault of the file."""
-
-
-class Step(_Table):
+class Step(Table):
     what: What = "calm"
     whom: list[int] = []  # empty for ways: all
     to: list[int] = []  # of a cut: only what goes from `whom` to these is lost; empty: to all
@@ -43,7 +38,7 @@
     within: Span = Span(0)  # for the condition; 0: what the terms allow
 
 
-class Fleet(_Table):
+class Fleet(Table):
     seed: int = 0
     instances: int = 5
     period: Span = Span(S)
@@ -59,24 +54,18 @@
 
 
 def encode(fleet: Fleet) -> bytes:
-    return msgspec.json.format(msgspec.json.encode(_plain(fleet))) + b"\n"
+    return msgspec.json.format(msgspec.json.encode(plain(fleet))) + b"\n"
 
 
 def decode(text: bytes, name: str = "fleet.json") -> Fleet:
     """ValueError says by path what is wrong."""
-    kind = msgspec.toml if name.endswith(".toml") else msgspec.json
-    made = kind.decode(text, type=Fleet, dec_hook=units.decode)
+    made = scenarios.parse(Fleet, text, name)
     check(made)
     return made
 
 
 def read(path: str) -> Fleet:
-    try:
-        return decode(Path(path).read_bytes(), path)
-    except OSError as error:
-        raise ValueError(f"{path}: {error.strerror}") from None
-    except ValueError as error:
-        raise ValueError(f"{path}: {error}") from None
+    return scenarios.read(path, decode)
 
 
 def check(fleet: Fleet) -> None:
--- a/dahliabend/emulator/script.py
+++ b/dahliabend/emulator/script.py
@@ -4,6 +4,7 @@
 faults and what can't be in that world are refused by path. `draw` makes a scenario from a seed.
 """
 
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
 from typing import Literal
@@ -46,11 +47,11 @@
 }
 
 
-class _Table(msgspec.Struct, rename="kebab", forbid_unknown_fields=True, omit_defaults=True):
+class Table(msgspec.Struct, rename="kebab", forbid_unknown_fields=True, omit_defaults=True):
     """A key that is not known is a fault of the file."""
 
 
-class WorldSpec(_Table):
+class WorldSpec(Table):
     balancers: int = 2
     upstreams: int = 4
     behind: int = 0  # upstreams of a second tier, which those of the first call
@@ -88,7 +89,7 @@
     notice: Span = Span(50 * MS)  # until discovery tells of a change, in the mean
 
 
-class LoadSpec(_Table):
+class LoadSpec(Table):
     requests: int = 110
     over: Span = Span(4 * S)
     burst: float = 0.0  # of them come within a tenth of the time
@@ -105,7 +106,7 @@
     keys: int = 0  # so many that journalled ones carry, and are kept in order by; 0: none
 
 
-class Fault(_Table):
+class Fault(Table):
     """`at` counts from the load's start. With `on`, it acts at the nth such event (of `whom`, where it names
     an upstream or a class), `after` later."""
 
@@ -120,7 +121,7 @@
     size: float = 0.0
 
 
-class Scenario(_Table):
+class Scenario(Table):
     seed: int = 0
     length: Span = Span(5 * S)
     world: WorldSpec = msgspec.field(default_factory=WorldSpec)
@@ -131,18 +132,18 @@
 
 
 def encode(scenario: Scenario) -> bytes:
-    return msgspec.json.format(msgspec.json.encode(_plain(scenario))) + b"\n"
+    return msgspec.json.format(msgspec.json.encode(plain(scenario))) + b"\n"
 
 
-def _plain(value):
+def plain(value):
     """Spans as text: msgspec takes them for the whole numbers that they are."""
     if isinstance(value, Span):
         return str(value)
     if isinstance(value, msgspec.Struct):
         fields = msgspec.structs.fields(value)
-        return {f.encode_name: _plain(v) for f in fields if (v := getattr(value, f.name)) != _default(f)}
+        return {f.encode_name: plain(v) for f in fields if (v := getattr(value, f.name)) != _default(f)}
     if isinstance(value, list):
-        return [_plain(each) for each in value]
+        return [plain(each) for each in value]
     return value
 
 
@@ -152,17 +153,21 @@
     return field.default_factory() if field.default_factory is not msgspec.NODEFAULT else msgspec.NODEFAULT
 
 
+def parse(kind: type, text: bytes, name: str):
+    """By the name's ending, TOML or JSON. ValueError says by path what is wrong."""
+    decoder = msgspec.toml if name.endswith(".toml") else msgspec.json
+    return decoder.decode(text, type=kind, dec_hook=units.decode)
+
+
 def decode(text: bytes, name: str = "script.json") -> Scenario:
     """ValueError says by path what is wrong."""
-    if name.endswith(".toml"):
-        made = msgspec.toml.decode(text, type=Scenario, dec_hook=units.decode)
-    else:
-        made = msgspec.json.decode(text, type=Scenario, dec_hook=units.decode)
+    made = parse(Scenario, text, name)
     check(made)
     return made
 
 
-def read(path: str) -> Scenario:
+def read(path: str, decode: Callable = decode):
+    """What a file says. ValueError names the file too."""
     try:
         return decode(Path(path).read_bytes(), path)
     except OSError as error:
