--- a/dahliabend/subsets/keeper.py
+++ b/dahliabend/subsets/keeper.py
@@ -10,6 +10,8 @@
 
 from dahliabend.subsets.choice import DEGREE, LEAST, Party, choose, ranks
 
+CLOSE = 1 / 50  # of a weight: a smaller change of it alone is not worth telling
+
 
 @dataclass(frozen=True, slots=True)
 class Terms:
@@ -49,6 +51,7 @@
         self.wanted: dict[str, float] = {}  # weights
         self.order: list[str] = []  # all, by this one's own ranks
         self.wider = 0  # how many more than wanted
+        self.told: dict[str, float] = {}  # weights
         self.next = 0  # when it may step again
         self.stale = True
         self.by, self.balancers = "name", terms.balancers
@@ -107,9 +110,14 @@
         dropped = leaving[:spare] if not missing or len(self.using) > len(wanted) else []
         for name in dropped:
             del self.using[name]
-        if not (added or dropped or lost):
+        made = self.subset(added, lost + dropped)
+        before, self.told = self.told, made.weights
+        if made.weights.keys() == before.keys() and all(
+            abs(weight - before[name]) <= CLOSE * weight for name, weight in made.weights.items()
+        ):
+            self.told = before
             return None
-        return self.subset(added, lost + dropped)
+        return made
 
     def subset(self, added: list[str], dropped: list[str]) -> Subset:
         mean = sum(self.wanted.values()) / max(1, len(self.wanted))
--- /dev/null
+++ b/tests/fleets/test_subsets.py
@@ -0,0 +1,62 @@
+"""Subsets of a whole fleet on the modelled network: even again after troubles, never few, moves bounded."""
+
+import pytest
+
+from dahliabend.emulator.fleets.script import Fleet, S, Step
+from dahliabend.emulator.fleets.subsets import Subsets
+from dahliabend.settings.units import Span
+from dahliabend.subsets.keeper import Terms
+
+
+def fleet(seed=0, many=30, pool=24):
+    made = Subsets(Fleet(seed=seed, instances=many, delay=Span(2_000)), pool, Terms(least=8, degree=8))
+    for number in range(many):
+        made.start(number)
+    made.know_all()
+    made.run(20 * S)
+    assert made.days.seconds[-1].uneven <= 1.02
+    return made
+
+
+def act(made, what, whom, wait, span=0, **more):
+    made.act(Step(what, whom=list(whom), span=Span(span * S), **more))
+    made.run(wait * S)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_third_dies_at_once_and_returns(seed):
+    made = fleet(seed)
+    act(made, "kill", range(0, 30, 3), 45)
+    assert made.days.seconds[-1].uneven <= 1.02 and made.days.seconds[-1].running == 20
+    act(made, "start", range(0, 30, 3), 60)
+    uneven, least, _ = made.days.worst(20 * S)
+    assert made.days.seconds[-1].uneven <= 1.02 and uneven <= 1.6 and least >= 7
+
+
+def test_the_smaller_part_of_a_split_keeps_what_it_used():
+    made = fleet()
+    size = len(made.using[29])
+    parts = [list(range(22)), list(range(22, 30))]
+    act(made, "split", (), 45, span=40, parts=parts)
+    assert all(len(made.using[n]) >= size - 1 for n in parts[1])
+    made.run(90 * S)
+    assert made.days.seconds[-1].uneven <= 1.02
+
+
+def test_one_that_wakes_after_a_minute_with_an_old_view_follows_what_came_meanwhile():
+    made = fleet()
+    act(made, "stop", [4], 10, span=60)
+    made.replace(8)
+    made.run(55 * S)
+    made.run(60 * S)
+    assert made.days.seconds[-1].uneven <= 1.02
+    assert set(made.using[4]) <= {party.name for party in made.pool}
+
+
+def test_a_balancer_that_flaps_moves_little_over_a_minute():
+    made = fleet()
+    begin = made.now
+    for _ in range(15):
+        act(made, "kill", [7], 4, span=2)
+    fair = len(made.using[0])
+    assert made.days.worst(begin)[2] <= 2 * 15 * 2 * fair and made.days.worst(begin)[1] >= 7
--- a/tests/subsets/test_keeper.py
+++ b/tests/subsets/test_keeper.py
@@ -100,6 +100,18 @@
     assert set(made.using) == wanted(range(60), range(60))
 
 
+def test_other_weights_alone_are_told_too():
+    """A fleet whose sets had come to rest kept weights of an earlier view: 1.11 of the mean for good."""
+    made = keeper()
+    before = made.step(S).weights
+    made.sees(2 * S, [Party(f"b{n}", weight=5.0 if n == 3 else 1.0) for n in range(20)], sure=True)
+    told = run(made, 3 * S, 40)
+    assert told and made.step(60 * S) is None
+    target = choose(list(made.sure), parties("u", range(60))).of("b0")
+    last, total = told[-1].weights, sum(told[-1].weights.values())
+    assert last != before and all(last[n] / total == pytest.approx(target[n], rel=0.05) for n in target)
+
+
 def test_without_a_view_it_goes_by_its_name_and_says_so():
     made = Keeper(Party("b0"), Terms(balancers=20))
     made.lists(parties("u", range(60)))
