--- a/tests/members/test_fuzz.py
+++ b/tests/members/test_fuzz.py
@@ -1,6 +1,6 @@
 """Whatever comes in at the datagram's door: no exception, no growth.
 
-A million: `python tests/members/test_fuzz.py`.
+A million: `PYTHONPATH=. python tests/members/test_fuzz.py`.
 """
 
 import sys
