Read-through: one reading of a view by the keeper, the emulator's address text, a dead constant out

The view's parties and its doubt were worked out in two places (the pool's list, the model of subsets); the keeper has them now. The rig wrote an address's text again beside emulator.world. WARNED was used by nothing.

--- a/dahliabend/emulator/fleets/subsets.py
+++ b/dahliabend/emulator/fleets/subsets.py
@@ -69,10 +69,9 @@
         for name in self.awake():
             number, machine = int(name[1:]), self.town.machines[name]
             keeper = self.keepers[number]
-            settled, latest = machine.settled(self.now), machine.view(self.now)
+            settled = machine.settled(self.now)
             if settled is not None:
-                parties = [Party(m.name, m.zone, m.weight) for m in settled.members if m.state != "unreached"]
-                keeper.sees(self.now, parties, not (settled.cut or latest.cut or latest.outcast))
+                keeper.follows(self.now, settled, machine.view(self.now))
             keeper.lists(self.pool)
             made = keeper.step(self.now)
             if made is not None:
@@ -84,7 +83,7 @@
     def look(self, moved: int) -> None:
         """All that run are asked the same; what one that is stopped uses gets nothing."""
         running = [int(name[1:]) for name in self.awake()]
-        load, links = dict.fromkeys((party.name for party in self.pool), 0.0), 0
+        load = dict.fromkeys((party.name for party in self.pool), 0.0)
         count = dict.fromkeys(load, 0)
         sizes = []
         for number in running:
--- a/dahliabend/net/program/fleet.py
+++ b/dahliabend/net/program/fleet.py
@@ -25,7 +25,6 @@
 
 KEEP_BEATS = 30  # periods between two writings of what is kept
 DIAL_TIME = 250_000
-WARNED = {"conflict", "outcast"}  # changes that say that something is wrong
 
 
 class Kept(msgspec.Struct):
--- a/dahliabend/net/program/narrowed.py
+++ b/dahliabend/net/program/narrowed.py
@@ -64,9 +64,7 @@
     def move(self) -> bool:
         now, fleet = clock(), self.fleet
         if fleet is not None and (settled := fleet.settled()) is not None:
-            latest = fleet.view()
-            parties = [Party(m.name, m.zone, m.weight) for m in settled.members if m.state != "unreached"]
-            self.keeper.sees(now, parties, sure=not (settled.cut or latest.cut or latest.outcast))
+            self.keeper.follows(now, settled, fleet.view())
         balancer = self.router.balancer
         if self.now.weights:
             self.keeper.held_back(sum(not upstream.aside for upstream in balancer.ready))
--- a/dahliabend/rig/play.py
+++ b/dahliabend/rig/play.py
@@ -16,12 +16,13 @@
 from dahliabend.emulator.fleets.claims import Bounds, Claim, judge
 from dahliabend.emulator.fleets.model import LOOK, Player
 from dahliabend.emulator.fleets.script import WAYS, Fleet, S, Step
+from dahliabend.emulator.world import joined
 from dahliabend.members.machine import Terms
 from dahliabend.members.seal import Seal
 from dahliabend.members.wire import Ping, encode
 from dahliabend.rig.processes import Instance, free_ports
 from dahliabend.rig.relay import Relay
-from dahliabend.rig.traffic import CLASSES, Traffic, joined_place
+from dahliabend.rig.traffic import CLASSES, Traffic
 
 TICK, LATE = (
     20_000,
@@ -143,7 +144,7 @@
         await self.traffic.open()
         subset = f'[pools.main.subset]\nleast = {fleet.subset}\ndegree = {fleet.subset}\nhold = "5s"'
         text = CLASSES.format(
-            discovery=joined_place(self.traffic.list_at), balancers=fleet.instances,
+            discovery=joined(self.traffic.list_at), balancers=fleet.instances,
             subset=subset if fleet.subset else "",
         )  # fmt: skip
         for number in range(fleet.instances):
--- a/dahliabend/rig/processes.py
+++ b/dahliabend/rig/processes.py
@@ -13,7 +13,7 @@
 
 from dahliabend.emulator.fleets.script import Fleet
 from dahliabend.emulator.peers.operators import call
-from dahliabend.rig.traffic import joined_place
+from dahliabend.emulator.world import joined
 
 PATIENCE = 30.0  # seconds until a process has to take callers, or to be gone
 FIRST, LAST = 20_000, 30_000  # ports, below those that the system hands out
@@ -57,13 +57,13 @@
         here = places[self.number]
         self.path.write_text(f'''
 [listeners.callers]
-address = "{joined_place(self.callers)}"
+address = "{joined(self.callers)}"
 [listeners.operators]
-address = "{joined_place(self.operators)}"
+address = "{joined(self.operators)}"
 [members]
 name = "{self.name}"
-address = "{joined_place(self.datagrams)}"
-advertise = "{joined_place(here)}"
+address = "{joined(self.datagrams)}"
+advertise = "{joined(here)}"
 zone = "z{self.number % fleet.zones}"
 seeds = [{seeds}]
 key-files = ["key"]
--- a/dahliabend/rig/traffic.py
+++ b/dahliabend/rig/traffic.py
@@ -200,7 +200,3 @@
             self.draining.pop(values[1], None)
         elif kind in ("extra", "spoilt"):
             self.broken.append(f"one answer: {kind} {values}"[:200])
-
-
-def joined_place(place: tuple[str, int]) -> str:
-    return f"{place[0]}:{place[1]}"
--- a/dahliabend/subsets/keeper.py
+++ b/dahliabend/subsets/keeper.py
@@ -68,6 +68,11 @@
             self.doubted = self.doubted if self.doubtful else now
             self.doubtful, self.stale = told, True
 
+    def follows(self, now: int, settled, latest) -> None:
+        """By membership: its settled view, and the latest, which tells whether that is to be doubted."""
+        parties = [Party(m.name, m.zone, m.weight) for m in settled.members if m.state != "unreached"]
+        self.sees(now, parties, sure=not (settled.cut or latest.cut or latest.outcast))
+
     def lists(self, upstreams: Sequence[Party]) -> None:
         """All that can be used, as the list has them."""
         told = {party.name: party for party in upstreams}
