--- a/dahliabend/emulator/fleets/script.py
+++ b/dahliabend/emulator/fleets/script.py
@@ -2,7 +2,8 @@
 
 Steps come one after another. A step does something, for its `span` where that ends by itself; then it waits
 `wait`, and until its condition holds (`out`: those named are in nobody's view; `agree`: all that run see the
-same, and each other). A condition that does not come within its time is a broken rule.
+same, and each other; `even`: that, and what all say that they use adds up; upstreams rest from then on). A
+condition that does not come within its time is a broken rule.
 """
 
 from random import Random
@@ -34,7 +35,7 @@
     delay: Span = Span(0)  # at the most, drawn evenly: datagrams overtake each other
     span: Span = Span(0)  # 0: until `mend`, or for good
     wait: Span = Span(0)
-    until: Literal["", "out", "agree"] = ""
+    until: Literal["", "out", "agree", "even"] = ""
     within: Span = Span(0)  # for the condition; 0: what the terms allow
 
 
@@ -99,6 +100,8 @@
             within(f"{here}.size", step.size, 0.0, 1.0)
         if step.what in ("stop", "block") and step.span <= 0:
             raise ValueError(f"$.{here}.span: for how long?")
+        if step.until == "even" and not fleet.subset:
+            raise ValueError(f"$.{here}.until: even says something only where the fleet has a subset")
         if step.until == "out" and not step.whom:
             raise ValueError(f"$.{here}.until: out names nobody")
         if min(step.span, step.wait, step.within, step.delay) < 0:
