Fleets at work on the model; the decisions are told how many balancers share a subset

Need: what subsets do to transactions was not measured, the sums over a fleet were (docs/subsets.md, not done).

Change: emulator/fleets/work.py and nodes.py play the real decisions, membership and keepers over modelled upstreams, with open arrivals; experiments/subset_work.py plays each seed with subsets and without. Cause found by it: decide.py takes 'balancers' for those that share each upstream, and was told all of the fleet, so that one of 40 with 18 of 60 let in START x 0.67 hops where 7.5 were its part, and turned callers back while upstreams idled. The keeper now says how many share a subset (its size over its part of the pool by demand), and the pool's list tells the decisions.

--- a/dahliabend/emulator/fleets/model.py
+++ b/dahliabend/emulator/fleets/model.py
@@ -93,6 +93,7 @@
             machine.places = {name: place for place, name in enumerate(machine.present)}
             machine.fresh.clear()
             machine.queue, machine.asking = [], 0
+            machine.version += 1
         self.town.mail.clear()
 
     def start(self, number: int, state: dict | None = None) -> None:
--- /dev/null
+++ b/dahliabend/emulator/fleets/work.py
@@ -0,0 +1,434 @@
+"""A fleet of balancers at work on the modelled network: the real decisions, one set for each balancer, and
+the real membership and subsets, over modelled upstreams, with transactions that come whether or not they are
+answered. One seed gives the same arrivals with subsets and without: runs are compared in pairs.
+
+A second of 40 balancers, 60 upstreams and 330 transactions takes some 60 ms. Bytes are not modelled: what the
+network code does with them is `dahliabend emulate`'s to play.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from random import Random
+
+from dahliabend.decide import Balancer, Transaction
+from dahliabend.emulator.fleets.model import Model
+from dahliabend.emulator.fleets.nodes import Kind, Node
+from dahliabend.emulator.fleets.script import Fleet, S
+from dahliabend.members.machine import Machine
+from dahliabend.members.machine import Terms as MemberTerms
+from dahliabend.model import Effect, Group, Outcome, Profile, Settings, State
+from dahliabend.subsets.choice import Party
+from dahliabend.subsets.keeper import Keeper, Terms
+
+MS = 1_000
+LOOK = 250 * MS  # how often a subset is looked at, as in a pool
+WAY = 1 * MS  # of a message to an upstream, or back
+SHAKE = 3 * MS  # a connection's opening
+DIAL = 250 * MS  # until one that does not answer is given up
+REST = 15 * S  # idle connections are closed after that
+LIST = 200 * MS, 1_500 * MS  # a change of the list is heard after
+NOTICED = 1 * S  # until callers come no more to a balancer that is gone
+SEEN = S  # a line of figures for each
+GOAL, LIMIT = 1_500 * MS, 3 * S
+PROFILES = (
+    Profile(Effect.IDEMPOTENT, Group.ALL, 0, GOAL, LIMIT, 1.0, 0.0),
+    Profile(Effect.NON_IDEMPOTENT, Group.ALL, 0, GOAL, LIMIT, 2.0, 0.0),
+)
+SUBMITS = 0.3  # of the transactions
+
+
+@dataclass(slots=True)
+class Figures:
+    """What came of a run. Times are microseconds."""
+
+    counts: Counter[str] = field(default_factory=Counter)
+    took: list[int] = field(default_factory=list)  # of those served
+    seconds: list[dict] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
+    links: list[float] = field(default_factory=list)  # each second: connections an upstream, in the mean
+    most_links: int = 0
+
+    @property
+    def share(self) -> float:
+        """Served within the goal, of all that was asked."""
+        return self.counts["served"] / max(1, self.counts["asked"])
+
+
+class Asked:
+    __slots__ = ("answered", "at", "effects", "handle", "hops", "profile")
+
+    def __init__(self, at: int, profile: int) -> None:
+        self.at, self.profile, self.answered, self.effects = at, profile, False, 0
+        self.handle: Transaction | None = None
+        self.hops: list[list] = []  # node, sent, over
+
+
+class Copy:
+    """One balancer's process: its decisions, and the port through which they act."""
+
+    def __init__(self, work: "Work", number: int, life: int) -> None:
+        self.work, self.number, self.alive = work, number, True
+        self.rows: dict[str, tuple] = {}  # the list as it knows it, by name
+        self.held: dict[int, Asked] = {}
+        self.next = 0
+        self.links: dict[int, list[int]] = {}  # by upstream: since when each connection rests
+        self.busy: Counter[int] = Counter()
+        self.balancer = Balancer(work.settings(), self, seed=hash((work.fleet.seed, number, life)))
+        self.keeper: Keeper | None = None
+        self.weights: dict[str, float] = {}
+        if work.subset is not None:
+            self.keeper = Keeper(work.party(number), work.subset)
+
+    # The port.
+
+    def send(self, ref: int, upstream: int, timeout: int) -> None:
+        work, asked = self.work, self.held[ref]
+        node, now = work.nodes[upstream], work.now
+        hop = [node, now, False]
+        asked.hops.append(hop)
+        number = len(asked.hops) - 1
+        work.counts["hops"] += 1
+        work.sent(node, self, now)
+        resting = self.links.setdefault(upstream, [])
+        way = WAY
+        while resting and now - resting[0] > REST:
+            resting.pop(0)
+        if resting:
+            resting.pop()
+        else:
+            work.counts["shakes"] += 1
+            way += SHAKE
+        self.busy[upstream] += 1
+        work.at(now + timeout, self.ended, ref, number, Outcome.TIMED_OUT)
+        if node.gone and node.silent:
+            return work.at(now + DIAL, self.ended, ref, number, Outcome.UNREACHABLE)
+        work.at(now + way, self.arrived, ref, number)
+
+    def arrived(self, ref: int, number: int) -> None:
+        asked = self.held.get(ref)
+        if asked is None or asked.hops[number][2]:
+            return
+        node, work = asked.hops[number][0], self.work
+        outcome, when = node.arrived(work.now)
+        if outcome is Outcome.COMMITTED:
+            asked.effects += 1
+            if asked.effects > 1 and PROFILES[asked.profile].effect is Effect.NON_IDEMPOTENT:
+                work.figures.broken.append(f"{work.now / 1e6:.3f} s: no effect twice: at {node.name}")
+            work.at(when, self.worked, node)
+        if outcome is not None:
+            work.at(when + WAY, self.ended, ref, number, outcome)
+
+    def worked(self, node: Node) -> None:
+        node.inside -= not node.gone
+
+    def ended(self, ref: int, number: int, outcome: Outcome) -> None:
+        asked, work = self.held.get(ref), self.work
+        if asked is None or asked.hops[number][2] or not self.alive:
+            return
+        node, sent, _ = asked.hops[number]
+        if node.gone and outcome is Outcome.COMMITTED:
+            outcome = Outcome.RESET
+        asked.hops[number][2] = True
+        self.busy[node.index] -= 1
+        if outcome in (Outcome.COMMITTED, Outcome.ERROR, Outcome.FULL) and node.index in self.links:
+            self.links[node.index].append(work.now)  # else it has left the list, or the subset, meanwhile
+        if outcome is Outcome.COMMITTED and not asked.answered:
+            self.answer(asked, "served" if work.now - asked.at <= GOAL else "late")
+        if asked.handle is not None:
+            asked.handle.returned(work.now, number, outcome, work.now - sent, asked.answered)
+            if asked.handle.over:
+                self.held.pop(ref, None)
+
+    def answer(self, asked: Asked, how: str) -> None:
+        if asked.answered:
+            return self.work.figures.broken.append(f"{self.work.now / 1e6:.3f} s: a second answer")
+        asked.answered = True
+        work = self.work
+        if asked.at < work.settle:
+            return
+        work.counts[how] += 1
+        if how == "served":
+            work.figures.took.append(work.now - asked.at)
+
+    def roll_back(self, ref: int, come_back_in: int) -> None:
+        self.answer(self.held[ref], "rolled back")
+
+    def abandon(self, ref: int) -> None:
+        self.answer(self.held[ref], "abandoned")
+
+    def cancel(self, ref: int, hop: int) -> None:
+        if not self.held[ref].hops[hop][2]:
+            self.work.at(self.work.now, self.ended, ref, hop, Outcome.CANCELLED)
+
+    def probe(self, upstream: int) -> None:
+        work, node = self.work, self.work.nodes[upstream]
+        work.counts["probes"] += 1
+        silent = node.hung or node.gone
+        outcome = Outcome.TIMED_OUT if silent else Outcome.ERROR if node.failing > 0.5 else Outcome.COMMITTED
+        work.at(work.now + (2 * DIAL if silent else 2 * WAY), self.probed, upstream, outcome)
+
+    def probed(self, upstream: int, outcome: Outcome) -> None:
+        if self.alive:
+            self.balancer.probed(self.work.now, upstream, outcome)
+
+    def close_idle(self, upstream: int, age: int) -> None:
+        resting = self.links.get(upstream, [])
+        self.links[upstream] = [since for since in resting if self.work.now - since < age]
+
+    def wake(self, at: int, token: int) -> None:
+        self.work.at(at, self.woken, token)
+
+    def woken(self, token: int) -> None:
+        if self.alive:
+            self.balancer.woken(self.work.now, token)
+
+    def ask_list(self) -> None: ...
+    def tell(self, peer: int, text: bytes) -> None: ...
+
+    # What comes.
+
+    def take(self, profile: int) -> None:
+        work = self.work
+        asked = Asked(work.now, profile)
+        ref = self.next
+        self.next += 1
+        self.held[ref] = asked
+        asked.handle = handle = self.balancer.take(work.now, ref, profile, 0, work.now + LIMIT)
+        if handle.over:
+            self.held.pop(ref, None)
+
+    def listed(self, changed: dict[str, tuple]) -> None:
+        if not self.alive:
+            return
+        self.rows.update(changed)
+        self.rows = {name: row for name, row in self.rows.items() if row[1] is not State.GONE}
+        if self.keeper is not None:
+            self.keeper.lists(
+                [Party(name, self.work.zone_names[row[5]], row[3]) for name, row in self.rows.items()
+                 if row[1] is State.READY]
+            )  # fmt: skip
+            self.move()
+        self.tell_rows()
+
+    def look(self) -> None:
+        if not self.alive or self.keeper is None:
+            return
+        self.work.at(self.work.now + LOOK, self.look)
+        if self.move():
+            self.tell_rows()
+
+    def move(self) -> bool:
+        work, keeper = self.work, self.keeper
+        machine = work.machine(self.number)
+        if machine is not None and (settled := machine.settled(work.now)) is not None:
+            keeper.follows(work.now, settled, machine.view(work.now))
+        if self.weights:
+            keeper.held_back(sum(not upstream.aside for upstream in self.balancer.ready))
+        made = keeper.step(work.now)
+        if made is None:
+            return False
+        work.counts["moved"] += len(made.added) + len(made.dropped)
+        self.weights = made.weights
+        self.balancer.balancers = made.sharing
+        return True
+
+    def tell_rows(self) -> None:
+        rows = list(self.rows.values())
+        if self.keeper is not None:
+            rows, known = [], self.balancer.upstreams
+            for name, row in self.rows.items():
+                weight = self.weights.get(name)
+                if weight is not None:
+                    rows.append((*row[:3], weight, *row[4:]))
+                elif row[1] is not State.READY and row[0] in known:
+                    rows.append(row)
+        self.balancer.listed(self.work.now, rows, full=True)
+        for index in [index for index in self.links if index not in self.balancer.upstreams]:
+            del self.links[index]
+
+
+class Work(Model):
+    """As the model, at work. `subset` None: each uses all, and there is no membership."""
+
+    def __init__(
+        self, fleet: Fleet, upstreams: int = 60, rate: float = 330.0, subset: Terms | None = None,
+        kind: Kind | None = None, members: MemberTerms | None = None, zones: int = 1,
+    ) -> None:  # fmt: skip
+        super().__init__(fleet, members)
+        self.kind, self.rate, self.subset = kind or Kind(), rate, subset
+        self.zone_names = [f"z{n}" for n in range(zones)]
+        self.figures, self.clock = Figures(), S
+        self.counts = self.figures.counts
+        self.arrivals, self.luck = Random(f"arrivals {fleet.seed}"), Random(f"nodes {fleet.seed}")
+        self.events: list[tuple] = []
+        self.order = 0
+        self.nodes: list[Node] = []  # all there ever were, by index
+        self.places: dict[str, Node] = {}  # by name: the process that is there now
+        self.copies: dict[int, Copy] = {}
+        self.front: list[int] = []  # balancers that callers come to
+        self.settle, self.finished = 0, False  # what was asked before that is not counted
+        for number in range(upstreams):
+            self.bring_up(f"u{number}", born=0)
+
+    # One clock over the transactions and the members: these move on between two looks.
+
+    @property
+    def now(self) -> int:
+        return self.clock
+
+    def at(self, when: int, call: Callable, *given) -> None:
+        self.order += 1
+        heappush(self.events, (when, self.order, call, given))
+
+    def run(self, span: int) -> None:
+        end, events = self.clock + span, self.events
+        while self.clock < end:
+            until = min(self.clock + LOOK, end)
+            while events and events[0][0] < until:
+                self.clock, _, call, given = heappop(events)
+                call(*given)
+            self.clock = until
+            while self.undo and self.undo[0][0] <= until:
+                self.over(self.undo.pop(0)[1])
+            if self.subset is not None:  # else nobody listens to the members: they stand still
+                self.town.run(max(0, until - self.town.now))
+
+    def machine(self, number: int) -> Machine | None:
+        return self.town.machines.get(f"b{number}")
+
+    # Balancers.
+
+    def settings(self) -> Settings:
+        kind = self.kind
+        return Settings(
+            balancers=self.fleet.instances, number=-1, tier=0, zone=0, profiles=PROFILES, allowances=(),
+            excess_share=1.0, whole_weight=1.0, class_weight=0.0, cross_zone_fee=0.0, most_hops=3,
+            may_cancel=True, may_probe=True, advises=True, longest_advice=3 * S, ask_for_list=False,
+            ask_within=0, cold_share=kind.cold_share, cold_time=kind.cold, cold_multiple=kind.fall_multiple,
+        )  # fmt: skip
+
+    def party(self, number: int) -> Party:
+        return Party(f"b{number}", self.zone_of(number))
+
+    def zone_of(self, number: int) -> str:
+        return self.zone_names[number % len(self.zone_names)]
+
+    def begin(self) -> None:
+        """The whole fleet, everybody knowing everybody; then the callers come."""
+        for number in range(self.fleet.instances):
+            self.start(number)
+        if self.subset is not None:
+            self.know_all()
+        self.at(self.clock, self.come)
+        self.at(self.clock, self.note)
+
+    def start(self, number: int, state: dict | None = None) -> None:
+        super().start(number, state)
+        copy = self.copies[number] = Copy(self, number, self.lives[number])
+        copy.listed({name: self.row(node) for name, node in self.places.items()})
+        copy.look()
+        self.front.append(number)
+
+    def end(self, number: int) -> Machine | None:
+        copy = self.copies.pop(number)
+        copy.alive = False
+        self.counts["lost"] += sum(
+            not asked.answered and asked.at >= self.settle for asked in copy.held.values()
+        )
+        self.at(self.clock + NOTICED, self.noticed, number)
+        return super().end(number)
+
+    def noticed(self, number: int) -> None:
+        if number not in self.copies:
+            self.front = [other for other in self.front if other != number]
+
+    # Upstreams.
+
+    def row(self, node: Node) -> tuple:
+        zone = self.zone_names.index(node.zone)
+        return node.index, node.state, node.born, 1.0, 0, zone, node.name.encode()
+
+    def bring_up(self, name: str, born: int | None = None) -> Node:
+        number = int(name[1:])
+        born = self.clock if born is None else born
+        node = Node(len(self.nodes), name, self.zone_of(number), self.kind, born,
+                    Random(f"{self.fleet.seed} {name} {born}"))  # fmt: skip
+        node.silent = False
+        self.nodes.append(node)
+        self.places[name] = node
+        self.announce(node)
+        return node
+
+    def announce(self, node: Node) -> None:
+        """Each balancer hears it after a while of its own."""
+        row = self.row(node)
+        for copy in self.copies.values():
+            self.at(self.clock + self.luck.randint(*LIST), copy.listed, {node.name: row})
+
+    def drain(self, name: str) -> None:
+        """It is listed as draining, and gone 3 s later."""
+        node = self.places[name]
+        node.state = State.DRAINING
+        self.announce(node)
+        self.at(self.clock + 3 * S, self.take_down, node)
+
+    def take_down(self, node: Node, silent: bool = False, told: bool = True) -> None:
+        """Its process ends: what it had is lost; `silent`: its machine too, nothing says so."""
+        node.end(self.clock)
+        node.state, node.silent = State.GONE, silent
+        if self.places.get(node.name) is node:
+            del self.places[node.name]
+        if told:
+            self.announce(node)
+
+    def sent(self, node: Node, copy: Copy, now: int) -> None:
+        if node.fallen and not getattr(node, "told", False):
+            node.told = True
+            self.counts["fallen"] += 1
+
+    # Callers.
+
+    def come(self) -> None:
+        if self.finished:
+            return
+        self.at(self.clock + max(1, round(self.arrivals.expovariate(self.rate / S))), self.come)
+        number = self.front[int(self.arrivals.random() * len(self.front))] if self.front else -1
+        profile = int(self.arrivals.random() < SUBMITS)
+        self.counts["asked"] += 1
+        copy = self.copies.get(number)
+        if copy is None:
+            self.counts["lost"] += 1
+        else:
+            copy.take(profile)
+
+    def note(self) -> None:
+        """A line of figures a second."""
+        self.at(self.clock + SEEN, self.note)
+        links = Counter[int]()
+        for copy in self.copies.values():
+            links.update({index: len(resting) for index, resting in copy.links.items()})
+            links.update(copy.busy)
+        here = [links[node.index] for node in self.places.values()]
+        self.figures.links.append(sum(here) / max(1, len(here)))
+        self.figures.most_links = max(self.figures.most_links, max(here, default=0))
+        self.figures.seconds.append({"at": self.clock, **self.counts})
+
+    def finish(self) -> None:
+        """Callers come no more, and those that are there get their answers."""
+        self.finished = True
+        self.run(LIMIT + S)
+
+    def forget(self) -> None:
+        """What was counted until now was the start."""
+        self.settle = self.clock
+        self.counts.clear()
+        self.figures.took.clear()
+        self.figures.links.clear()
+        self.figures.seconds.clear()
+        self.figures.most_links = 0
+
+
+def names(numbers: Iterable[int]) -> list[str]:
+    return [f"u{number}" for number in numbers]
--- a/dahliabend/net/program/narrowed.py
+++ b/dahliabend/net/program/narrowed.py
@@ -88,6 +88,9 @@
                 rows.append((*row[:4], weight, *row[5:]))
             elif row[2] is not State.READY and name in known:
                 rows.append(row)  # it drains: kept until it is gone, for what is out there
+        # Not all balancers of the fleet send to these: taken for so many, each would let in a crowd of a few
+        # and turn callers back while its upstreams idle.
+        self.router.balancer.balancers = self.now.sharing
         self.router.listed(rows, full=True)
 
     def stop(self) -> None:
--- a/dahliabend/subsets/keeper.py
+++ b/dahliabend/subsets/keeper.py
@@ -38,6 +38,7 @@
     dropped: list[str] = field(default_factory=list)
     by: str = "name"  # members, both (doubtful: two views), name (no view)
     balancers: int = 1
+    sharing: float = 1.0  # balancers that share each of these, in the mean, by this one's part of the demand
 
 
 class Keeper:
@@ -55,6 +56,7 @@
         self.next = 0  # when it may step again
         self.stale = True
         self.by, self.balancers = "name", terms.balancers
+        self.part = 1.0 / terms.balancers  # of all demand, this one's
 
     # What is told.
 
@@ -129,7 +131,8 @@
         weights = {name: self.wanted.get(name, mean) for name in self.using}
         scale = len(weights) / (sum(weights.values()) or 1.0)
         made = {name: weight * scale for name, weight in weights.items()}
-        return Subset(made, added, dropped, self.by, self.balancers)
+        sharing = len(made) / max(1e-9, self.part * len(self.upstreams))
+        return Subset(made, added, dropped, self.by, self.balancers, sharing)
 
     def widened(self) -> list[str]:
         """The wanted ones, and the next of its own ranks."""
@@ -144,6 +147,9 @@
         views = [view for view in (self.sure, self.doubtful) if any(p.name == self.me.name for p in view)]
         self.by = ("name", "members", "both")[len(views)]
         self.balancers = max((len(view) for view in views), default=self.terms.balancers)
+        # In doubt the smaller part: the larger would let in what the others may still be sending.
+        self.part = min((self.me.weight / sum(p.weight for p in view) for view in views),
+                        default=1.0 / self.terms.balancers)  # fmt: skip
         if not views:
             return self.alone()
         made: dict[str, float] = {}
--- a/experiments/fleets.py
+++ b/experiments/fleets.py
@@ -1,9 +1,10 @@
-"""Membership over sizes and bad networks, on the model: `python experiments/fleets.py OUT [--jobs 4] [--small]`.
+"""Membership over sizes and bad networks, on the model: `python experiments/fleets.py OUT [--jobs 4] [--small | --large]`.
 
 Writes OUT/members.json, OUT/members.md and charts. Detection: everybody knows everybody, ten calm periods, then one is killed; the
 time until the first and until the last of the others has it out of its view; bytes a second an instance in the calm before. False
 deaths: nobody ends; datagrams are lost, and in half of the runs one instance is stopped for 3 s of every 20; each death told is
-false. Beside it the same machine without local health awareness, and without others asked.
+false. Beside it the same machine without local health awareness, and without others asked. `--large` has false deaths alone, at 500 and
+2,000 instances, an hour or two of one machine, and writes OUT/members-large.md as the cells come.
 """
 
 import argparse
@@ -28,6 +29,7 @@
 SIZES = {5: 100, 50: 100, 500: 100, 2000: 20}  # instances: seeds
 LOSSES = (0.0, 0.1, 0.2, 0.3, 0.4)
 FALSE = {5: (40, 300), 50: (5, 60)}  # instances: seeds, seconds
+LARGE = {2000: 40, 500: 40}  # instances: seconds, one seed; at 2,000 the machine as it is, and stops, alone
 CALM, LONGEST = 10 * S, 120 * S
 
 
@@ -66,6 +68,22 @@
             "hours": count * seconds / 3600, "rate": town.bytes / (town.now / S) / count}  # fmt: skip
 
 
+def large(out: Path, jobs: int) -> None:
+    """Longest cells first; the page is written anew with each that is done."""
+    runs = [(way, n, 0, loss, stops, seconds) for n, seconds in LARGE.items() for loss in reversed(LOSSES) for way in WAYS
+            for stops in (False, True) if n <= 500 or way == "as it is" and stops and loss in (0.1, 0.3)]  # fmt: skip
+    done: dict[tuple, dict] = {}
+    with Pool(jobs) as pool:
+        for row in pool.imap_unordered(falsely, runs):
+            done[row["count"], row["loss"], row["stops"], row["way"]] = row
+            text = ["# False deaths in large fleets", "", "Made by `experiments/fleets.py --large` on the modelled network; period 1 s, one seed a cell. All figures simulated.", "",
+                    "| instances | datagrams lost | one stops 3 s in 20 | way | instance-hours | false deaths | bytes a second an instance |",
+                    "| --- | --- | --- | --- | --- | --- | --- |"]  # fmt: skip
+            for (count, loss, stops, way), each in sorted(done.items()):
+                text.append(f"| {count} | {loss:.0%} | {'yes' if stops else 'no'} | {way} | {each['hours']:.1f} | {each['deaths']} | {each['rate']:.0f} |")
+            (out / "members-large.md").write_text("\n".join(text) + "\n")
+
+
 def share(values: list[float], part: float) -> float:
     ordered = sorted(values)
     return ordered[min(len(ordered) - 1, int(len(ordered) * part))]
@@ -141,8 +159,11 @@
     parser.add_argument("out", type=Path)
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--small", action="store_true", help="A few seeds, up to 50 instances.")
+    parser.add_argument("--large", action="store_true", help="False deaths at 500 and 2,000 instances alone.")
     given = parser.parse_args()
     given.out.mkdir(parents=True, exist_ok=True)
+    if given.large:
+        return large(given.out, given.jobs)
     sizes = {5: 5, 50: 2} if given.small else SIZES
     detections = [(way, n, seed) for n, seeds in sizes.items() for way in WAYS for seed in range(seeds)
                   if n <= 50 or way == "as it is"]  # fmt: skip
--- /dev/null
+++ b/experiments/subset_work.py
@@ -0,0 +1,187 @@
+"""Subsets beside none, with transactions: `python experiments/subset_work.py OUT [--seeds 200] [--jobs 4] [--way NAME=...]`.
+
+Writes OUT/subset-work.json and OUT/subset-work.md. 40 balancers, 60 upstreams of two cores, open arrivals at 55% of what these bear, the real
+decisions, membership and keepers on the modelled network. One seed is played by each way with the same arrivals; the differences are paired, with
+95% intervals by bootstrap over the seeds. Figures count from the trouble's begin until 25 s after its end.
+"""
+
+import argparse
+import json
+import sys
+from multiprocessing import Pool
+from pathlib import Path
+from random import Random
+from time import time
+
+import numpy as np
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from dahliabend.emulator.fleets.script import S, Fleet, Step  # noqa: E402
+from dahliabend.emulator.fleets.work import Work, names  # noqa: E402
+from dahliabend.settings.units import Span  # noqa: E402
+from dahliabend.subsets.keeper import Terms  # noqa: E402
+
+MANY, POOL, RATE, ZONES = 40, 60, 330.0, 3
+BEFORE, AFTER = 20, 25  # seconds
+DRAWS = 2_000  # of a bootstrap
+WAYS = {"none": None, "subsets": Terms(balancers=MANY)}
+
+
+def act(made, what, whom=(), span=0, wait=0, **more):
+    made.act(Step(what, whom=list(whom), span=Span(span * S), **more))
+    made.run(wait * S)
+
+
+def calm(made, chance):
+    made.run(20 * S)
+
+
+def bad(made, chance):
+    """Four fail eight in ten at once, four work at a third of their pace; for 20 s."""
+    some = [made.places[name] for name in names(chance.sample(range(POOL), 8))]
+    for node in some[:4]:
+        node.failing = 0.8
+    for node in some[4:]:
+        node.slower = 3.0
+    made.run(20 * S)
+    for node in some:
+        node.failing, node.slower = 0.0, 1.0
+
+
+def herd(made, chance):
+    third = chance.sample(range(MANY), MANY // 3)
+    act(made, "kill", third, wait=12)
+    act(made, "start", third)
+
+
+def rolling(made, chance):
+    old = chance.sample(range(POOL), POOL // 2)
+    for number in range(MANY):
+        act(made, "restart", [number])
+        if old and number % 4 != 3:
+            replace(made, old.pop())
+        made.run(S // 2)
+
+
+def replace(made, number):
+    made.drain(f"u{number}")
+    made.bring_up(f"u{number + POOL if number < POOL else number - POOL}")
+
+
+def zone(made, chance):
+    """One of three zones is lost, machines and all, and returns cold."""
+    lost = chance.randrange(ZONES)
+    there = [node for node in made.places.values() if int(node.name[1:]) % ZONES == lost]
+    for node in there:
+        made.take_down(node, silent=True)
+    balancers = list(range(lost, MANY, ZONES))
+    act(made, "kill", balancers, wait=12)
+    for node in there:
+        made.bring_up(node.name)
+    act(made, "start", balancers)
+
+
+def split(made, chance):
+    """Membership in two parts for 25 s; both see all upstreams, of which a tenth is replaced meanwhile."""
+    everyone = list(range(MANY))
+    chance.shuffle(everyone)
+    act(made, "split", parts=[everyone[:30], everyone[30:]], span=25)
+    for number in chance.sample(range(POOL), 6):
+        made.run(4 * S)
+        replace(made, number)
+    made.run(2 * S)
+
+
+def join(made, chance):
+    """Six in ten replaced within 7 s; some of the others are bad."""
+    order = chance.sample(range(POOL), POOL)
+    for node in (made.places[name] for name in names(order[-3:])):
+        node.failing = 0.6
+    for number in order[: POOL * 6 // 10]:
+        replace(made, number)
+        made.run(7 * S * 10 // (POOL * 6))
+
+
+SCENARIOS = {"calm": calm, "bad": bad, "herd": herd, "rolling": rolling, "zone": zone, "split": split, "join": join}
+FIGURES = ("share", "p99", "links", "most links", "shakes", "probes", "fallen", "moved")
+
+
+def play(task) -> dict:
+    scenario, way, seed = task
+    made = Work(Fleet(seed=seed, instances=MANY, delay=Span(2_000)), POOL, RATE, WAYS[way], zones=ZONES)
+    made.begin()
+    made.run(BEFORE * S)
+    made.forget()
+    SCENARIOS[scenario](made, Random(f"{scenario} {seed}"))
+    made.run(AFTER * S)
+    made.finish()
+    figures, counts = made.figures, made.figures.counts
+    asked = counts["asked"]
+    return {"scenario": scenario, "way": way, "seed": seed, "share": figures.share, "p99": float(np.percentile(figures.took, 99)) / 1000,
+            "links": float(np.mean(figures.links)), "most links": figures.most_links, "shakes": 1000 * counts["shakes"] / asked,
+            "probes": 1000 * counts["probes"] / asked, "fallen": counts["fallen"], "moved": counts["moved"], "broken": figures.broken[:5]}  # fmt: skip
+
+
+def interval(values: np.ndarray) -> tuple[float, float, float]:
+    """The mean, and where 95% of the means of drawn samples lie."""
+    drawn = np.random.default_rng(1).choice(values, (DRAWS, len(values))).mean(axis=1)
+    return float(values.mean()), *(float(each) for each in np.percentile(drawn, (2.5, 97.5)))
+
+
+def page(rows: list[dict], base: str) -> str:
+    out = ["# Subsets at work", "", "Made by `experiments/subset_work.py`, simulated: the real decisions on modelled upstreams. Means over the seeds; in brackets the difference "
+           f"to `{base}`, paired by seed, with its 95% interval. `links`: connections of an upstream in the mean of the seconds; `most`: of the one that had most, in its worst second; "
+           "`shakes`, `probes`: connections opened and probes a thousand transactions; `fallen`: cold upstreams pushed over, in all runs; `moved`: pairs.", "",
+           "| what | way | seeds | share served in time, % | p99 of these, ms | links | most | shakes | probes | fallen | moved |",
+           "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"]  # fmt: skip
+    ways = list(dict.fromkeys(row["way"] for row in rows))
+    for scenario in SCENARIOS:
+        first = {row["seed"]: row for row in rows if row["scenario"] == scenario and row["way"] == base}
+        for way in ways:
+            some = {row["seed"]: row for row in rows if row["scenario"] == scenario and row["way"] == way}
+            if not some:
+                continue
+
+            def mean(key, some=some):
+                return np.mean([row[key] for row in some.values()])
+
+            def beside(key, scale, digits, some=some, way=way, first=first):
+                if way == base:
+                    return ""
+                both = sorted(some.keys() & first.keys())
+                middle, low, high = interval(scale * np.array([some[seed][key] - first[seed][key] for seed in both]))
+                return f" ({middle:+.{digits}f}; {low:+.{digits}f} to {high:+.{digits}f})"
+
+            out.append(
+                f"| {scenario} | {way} | {len(some)} | {100 * mean('share'):.2f}{beside('share', 100, 2)} | {mean('p99'):.0f}{beside('p99', 1, 0)} | "
+                f"{mean('links'):.1f} | {mean('most links'):.0f} | {mean('shakes'):.0f} | {mean('probes'):.1f} | "
+                f"{sum(row['fallen'] for row in some.values())} | {mean('moved'):.0f} |"
+            )
+    broken = [row for row in rows if row["broken"]]
+    out += ["", f"Rules checked (one answer each, what may not repeat runs once): {len(rows)} runs, {len(broken)} broke one."]
+    return "\n".join(out) + "\n"
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("out", type=Path)
+    parser.add_argument("--seeds", type=int, default=200)
+    parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--scenarios", nargs="*", default=list(SCENARIOS))
+    parser.add_argument("--ways", nargs="*", default=list(WAYS))
+    given = parser.parse_args()
+    given.out.mkdir(parents=True, exist_ok=True)
+    tasks = [(scenario, way, seed) for seed in range(given.seeds) for scenario in given.scenarios for way in given.ways]
+    began, rows = time(), []
+    with Pool(given.jobs) as pool:
+        for row in pool.imap_unordered(play, tasks, chunksize=2):
+            rows.append(row)
+    rows.sort(key=lambda row: (row["scenario"], given.ways.index(row["way"]), row["seed"]))
+    (given.out / "subset-work.json").write_text(json.dumps(rows) + "\n")
+    (given.out / "subset-work.md").write_text(page(rows, given.ways[0]))
+    print(f"{time() - began:.0f} s")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/fleets/test_work.py
@@ -0,0 +1,79 @@
+"""Fleets at work: the real decisions on modelled upstreams, one seed the same run, no rule broken."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+
+from dahliabend.emulator.fleets.nodes import Kind, Node
+from dahliabend.emulator.fleets.script import Fleet, S, Step
+from dahliabend.emulator.fleets.work import Work
+from dahliabend.model import Outcome
+from dahliabend.settings.units import Span
+from dahliabend.subsets.keeper import Terms
+
+MANY, POOL = 20, 30
+SUBSETS = Terms(least=8, degree=8, balancers=MANY)
+
+
+def fleet(subset=None, seed=1, warm=10, rate=165.0):
+    made = Work(Fleet(seed=seed, instances=MANY, delay=Span(2_000)), POOL, rate, subset)
+    made.begin()
+    made.run(warm * S)
+    made.forget()
+    return made
+
+
+def test_one_seed_gives_one_run_and_all_are_answered_once():
+    runs = []
+    for _ in range(2):
+        made = fleet(SUBSETS)
+        made.run(5 * S)
+        made.finish()
+        counts = made.counts
+        assert counts["asked"] == sum(counts[how] for how in ("served", "late", "rolled back", "abandoned"))
+        runs.append((counts, made.figures.took))
+        assert made.figures.broken == []
+    assert runs[0] == runs[1]
+
+
+def test_a_subset_turns_no_more_callers_back_than_using_all():
+    shares = Counter()
+    for way in (None, SUBSETS):
+        made = fleet(way)
+        made.run(15 * S)
+        made.finish()
+        shares[way is not None] = made.figures.share
+        assert made.figures.most_links <= (MANY if way is None else 14)
+    assert shares[True] >= shares[False] - 0.001
+
+
+@pytest.mark.parametrize("subset", [None, SUBSETS])
+def test_killed_balancers_lose_what_they_had_and_the_others_go_on(subset):
+    made = fleet(subset)
+    made.act(Step("kill", whom=[0, 1, 2, 3]))
+    made.run(3 * S)
+    lost = made.counts["lost"]
+    assert 0 < lost < 165
+    made.run(5 * S)
+    made.finish()
+    assert made.counts["lost"] == lost and made.figures.broken == []
+    assert made.counts["served"] >= 0.97 * (made.counts["asked"] - lost)
+
+
+def test_a_replaced_pool_is_followed_and_no_cold_upstream_falls():
+    made = fleet(SUBSETS)
+    for number in range(18):
+        made.drain(f"u{number}")
+        made.bring_up(f"u{number + POOL}")
+        made.run(S // 3)
+    made.run(20 * S)
+    assert made.counts["fallen"] == 0 and made.figures.share >= 0.97
+    assert all(set(copy.weights) <= made.places.keys() for copy in made.copies.values())
+
+
+def test_a_cold_upstream_sent_too_much_falls_over_and_stays():
+    node = Node(0, "u0", "z0", Kind(cores=1, fall_multiple=2.0), 5 * S, Random(1))
+    outcomes = [node.arrived(5 * S)[0] for _ in range(30)]
+    assert outcomes[0] is Outcome.COMMITTED and outcomes[-1] is None and node.fallen
+    assert node.arrived(60 * S) == (None, 60 * S)
--- a/tests/subsets/test_narrowed.py
+++ b/tests/subsets/test_narrowed.py
@@ -51,6 +51,12 @@
     assert made.shown()["by"] == "name" and made.shown()["of"] == 30
 
 
+def test_the_decisions_are_told_how_many_balancers_share_what_is_used():
+    made, router = narrowed(least=6, degree=4)
+    made.listed(rows(range(30)), full=True)
+    assert router.balancer.balancers == pytest.approx(len(router.told[-1]) * 20 / 30)
+
+
 def test_a_drain_of_one_in_use_is_told_at_once_and_of_another_not_at_all():
     made, router = narrowed(least=6, degree=4)
     made.listed(rows(range(30)), full=True)
