Subsets: flapping upstreams rest, demand told through the view, choice by self-index

Change: subsets/flaps.py (a penalty for each departure that halves in 20 s; from the third close together it rests at its return, an eighth of the pool at the most), subsets/demand.py ([members] demand: growth told at once, less after a minute, chance not), [pools.NAME.subset] self-index.

--- a/dahliabend/emulator/fleets/subsets.py
+++ b/dahliabend/emulator/fleets/subsets.py
@@ -72,7 +72,7 @@
             settled = machine.settled(self.now)
             if settled is not None:
                 keeper.follows(self.now, settled, machine.view(self.now))
-            keeper.lists(self.pool)
+            keeper.lists(self.now, self.pool)
             made = keeper.step(self.now)
             if made is not None:
                 before = self.using.get(number, {})
--- a/dahliabend/emulator/fleets/work.py
+++ b/dahliabend/emulator/fleets/work.py
@@ -20,6 +20,7 @@
 from dahliabend.members.machine import Terms as MemberTerms
 from dahliabend.model import Effect, Group, Outcome, Profile, Settings, State
 from dahliabend.subsets.choice import Party
+from dahliabend.subsets.demand import UNTOLD, Demand
 from dahliabend.subsets.keeper import Keeper, Terms
 
 MS = 1_000
@@ -72,12 +73,13 @@
         self.work, self.number, self.alive = work, number, True
         self.rows: dict[str, tuple] = {}  # the list as it knows it, by name
         self.held: dict[int, Asked] = {}
-        self.next = 0
+        self.next = self.taken = 0
         self.links: dict[int, list[int]] = {}  # by upstream: since when each connection rests
         self.busy: Counter[int] = Counter()
         self.balancer = Balancer(work.settings(), self, seed=hash((work.fleet.seed, number, life)))
         self.keeper: Keeper | None = None
         self.weights: dict[str, float] = {}
+        self.demand = Demand() if work.demand else None
         if work.subset is not None:
             self.keeper = Keeper(work.party(number), work.subset)
 
@@ -192,6 +194,7 @@
     def take(self, profile: int) -> None:
         work = self.work
         asked = Asked(work.now, profile)
+        self.taken += 1
         ref = self.next
         self.next += 1
         self.held[ref] = asked
@@ -206,6 +209,7 @@
         self.rows = {name: row for name, row in self.rows.items() if row[1] is not State.GONE}
         if self.keeper is not None:
             self.keeper.lists(
+                self.work.now,
                 [Party(name, self.work.zone_names[row[5]], row[3]) for name, row in self.rows.items()
                  if row[1] is State.READY]
             )  # fmt: skip
@@ -215,7 +219,11 @@
     def look(self) -> None:
         if not self.alive or self.keeper is None:
             return
-        self.work.at(self.work.now + LOOK, self.look)
+        work, machine = self.work, self.work.machine(self.number)
+        work.at(work.now + LOOK, self.look)
+        weight = self.demand and self.demand.counted(work.now, self.taken)
+        if weight and machine is not None:
+            machine.change(work.now, weight=weight)
         if self.move():
             self.tell_rows()
 
@@ -254,10 +262,13 @@
 
     def __init__(
         self, fleet: Fleet, upstreams: int = 60, rate: float = 330.0, subset: Terms | None = None,
-        kind: Kind | None = None, members: MemberTerms | None = None, zones: int = 1,
+        kind: Kind | None = None, members: MemberTerms | None = None, zones: int = 1, demand: bool = False,
     ) -> None:  # fmt: skip
+        """`demand`: balancers tell the others how much they are asked. `heavy` of the balancers' callers go
+        to the first one where it is set, else all to all alike."""
         super().__init__(fleet, members)
         self.kind, self.rate, self.subset = kind or Kind(), rate, subset
+        self.demand, self.heavy = demand, 0.0
         self.zone_names = [f"z{n}" for n in range(zones)]
         self.figures, self.clock = Figures(), S
         self.counts = self.figures.counts
@@ -326,6 +337,8 @@
 
     def start(self, number: int, state: dict | None = None) -> None:
         super().start(number, state)
+        if self.demand:
+            self.town.machines[f"b{number}"].change(self.clock, weight=UNTOLD)
         copy = self.copies[number] = Copy(self, number, self.lives[number])
         copy.listed({name: self.row(node) for name, node in self.places.items()})
         copy.look()
@@ -394,7 +407,10 @@
         if self.finished:
             return
         self.at(self.clock + max(1, round(self.arrivals.expovariate(self.rate / S))), self.come)
-        number = self.front[int(self.arrivals.random() * len(self.front))] if self.front else -1
+        drawn = self.arrivals.random()
+        number = self.front[int(drawn * len(self.front))] if self.front else -1
+        if self.heavy and self.arrivals.random() < self.heavy:
+            number = 0
         profile = int(self.arrivals.random() < SUBMITS)
         self.counts["asked"] += 1
         copy = self.copies.get(number)
--- a/dahliabend/net/program/events.py
+++ b/dahliabend/net/program/events.py
@@ -23,6 +23,7 @@
     ),
     "committed": Event("debug", "never by itself: see access", ENDED),
     "cut": Event("warning", "an answer that had begun could not be finished", ENDED),
+    "demand": Event("info", "this balancer tells the others how much it is asked", ("weight",)),
     "ended": Event("info", "the process ends in order", ("counts",)),
     "error": Event("error", "a fault of the program itself: report it", ("what", "why")),
     "excluded": Event("info", "an operator took an upstream out", ("upstream",)),
@@ -92,7 +93,7 @@
     "subset": Event(
         "info",
         "the upstreams of a pool that this balancer uses have changed; `by` members, both (a view that may "
-        "be cut off and the last sure one) or its own name",
+        "be cut off and the last sure one), index (self-index) or its own name",
         ("size", "of", "added", "dropped", "by", "balancers"),
     ),
     "switched": Event("info", "other settings are in force", ("held", "kept", "afresh")),
--- a/dahliabend/net/program/fleet.py
+++ b/dahliabend/net/program/fleet.py
@@ -22,6 +22,7 @@
 from dahliabend.net.transport.deadlines import Deadlines, clock
 from dahliabend.net.transport.descriptors import Descriptors
 from dahliabend.settings.types import Members
+from dahliabend.subsets.demand import UNTOLD, Demand
 
 KEEP_BEATS = 30  # periods between two writings of what is kept
 DIAL_TIME = 250_000
@@ -75,10 +76,10 @@
         self.kept = self.read_kept()
         if self.kept is not None:  # a clock that was set back must not make it older than it was
             life = max(life, self.kept.life + 1)
-        self.machine = Machine(
-            self.name, life, self.place, terms, self.chance, settings.zone, settings.weight
-        )
+        weight = UNTOLD if settings.demand else settings.weight
+        self.machine = Machine(self.name, life, self.place, terms, self.chance, settings.zone, weight)
         self.shell = Shell(self.machine, self.seal_of(settings), deadlines, self.heard)
+        self.demand = Demand() if settings.demand else None
         self.told = Seeds(self.follow)
         self.lists: list[ListFile | Discovery] = []
         self.keeping: list | None = None
@@ -174,14 +175,22 @@
             key_files=settings.key_files,
         )  # fmt: skip
         self.shell.seal = self.seal_of(settings)  # the files may hold other keys under the same names
-        if (settings.zone, settings.weight) != (before.zone, before.weight):
-            self.machine.change(clock(), zone=settings.zone, weight=settings.weight)
+        weight = settings.weight if self.demand is None else self.machine.me.weight
+        if settings.zone != before.zone or weight != self.machine.me.weight:
+            self.machine.change(clock(), zone=settings.zone, weight=weight)
         lists = settings.seeds_file, settings.seeds_discovery
         if lists != (before.seeds_file, before.seeds_discovery):
             self.told.places = {}
             self.watch_lists()
         self.follow()
 
+    def asked(self, count: int) -> None:
+        """So many transactions came in all, until now."""
+        weight = self.demand.counted(clock(), count)
+        if weight is not None:
+            self.machine.change(clock(), weight=weight)
+            self.log("demand", weight=weight)
+
     def heard(self, event: Event) -> None:
         self.log("member", change=event.what, member=event.name, by=event.by, incarnation=event.incarnation)
 
--- a/dahliabend/net/program/narrowed.py
+++ b/dahliabend/net/program/narrowed.py
@@ -26,8 +26,10 @@
         self.rows: dict[str, tuple] = {}  # by id, all that the list has
         self.now: Subset = Subset()
         own = fleet.settings if fleet is not None else None
-        me = Party(fleet.name if own else name, own.zone if own else "", own.weight if own else 1.0)
+        index = settings.self_index
+        me = Party(fleet.name if own else name if index is None else f"{index}", own.zone if own else "")
         terms = Terms(
+            by="members" if index is None else "index",
             least=settings.least,
             degree=settings.degree,
             zones=settings.zones,
@@ -35,6 +37,8 @@
             hold=settings.hold,
         )
         self.keeper = Keeper(me, terms)
+        if index is not None:  # all know how many there are, and each its own place among them
+            self.keeper.sees(clock(), [Party(f"{n}") for n in range(balancers)], sure=True)
         self.timer: list | None = None
         self.look()
 
@@ -48,7 +52,7 @@
                 self.rows[row[0]] = row
                 self.router.yard.remember(row[0])  # an operator may take it out before it is in use
         self.keeper.lists(
-            [Party(name, row[6], row[4]) for name, row in self.rows.items() if row[2] is State.READY]
+            clock(), [Party(name, row[6], row[4]) for name, row in self.rows.items() if row[2] is State.READY]
         )
         self.move()
         self.tell()  # drains of those in use are heard at once, whatever moves
--- a/dahliabend/net/program/service.py
+++ b/dahliabend/net/program/service.py
@@ -32,6 +32,7 @@
 
 SOCKETS = 4096  # descriptors, where the environment says nothing
 MOST_HELD = 20_000
+DEMAND = 1_000_000  # how often it is looked how much is asked
 SLACK = 20_000  # a caller's limit may be this much nearer than it looks
 
 _EFFECTS = {
@@ -170,6 +171,8 @@
         if self.fleet is not None:
             asyncio.get_running_loop().add_signal_handler(signal.SIGUSR2, self.hand_over)
             await self.fleet.open()
+            if self.fleet.demand is not None:
+                self.tell_demand()
 
     def read(self) -> Plan:
         """ValueError names every fault."""
@@ -229,9 +232,10 @@
 
     def narrow(self, running: Pool, pool: types.Pool) -> None:
         """Whether it uses some of its upstreams; a reload that changes it has the list read anew."""
-        if running.terms == pool.subset:
+        terms = pool.subset and (pool.subset, pool.balancers)
+        if running.terms == terms:
             return
-        running.terms = pool.subset
+        running.terms = terms
         if running.narrowed is not None:
             running.narrowed.stop()
         running.narrowed = None
@@ -329,6 +333,12 @@
 
     # Figures.
 
+    def tell_demand(self) -> None:
+        """What pools with a subset were asked: by it the others' subsets make room."""
+        pools = [pool for pool in self.desk if pool.narrowed is not None]
+        self.fleet.asked(sum(sum(pool.router.counts.values()) for pool in pools))
+        self.deadlines.at(clock() + DEMAND, self.tell_demand)
+
     def beat(self) -> None:
         for pool in self.desk.clear():
             pool.stop()
--- a/dahliabend/routes/checks.py
+++ b/dahliabend/routes/checks.py
@@ -178,6 +178,12 @@
         for field in ("least", "degree", "hold") if pool.subset is not None else ():
             if getattr(pool.subset, field) <= 0:
                 source.fault((*key, "subset", field), f"{getattr(pool.subset, field)} is not above 0")
+        if pool.subset is not None and pool.subset.self_index is not None:
+            index, here = pool.subset.self_index, (*key, "subset", "self-index")
+            if not 0 <= index < pool.balancers:
+                source.fault(here, f"{index} is not between 0 and {pool.balancers - 1}: see balancers")
+            elif file.members is not None:
+                source.fault(here, "[members] says already who balances")
         if pool.cold.multiple <= 1:
             source.fault((*key, "cold", "multiple"), f"{pool.cold.multiple:g} is not above 1")
         for field in ("idle", "dial_time", "grace"):
--- a/dahliabend/settings/types.py
+++ b/dahliabend/settings/types.py
@@ -62,6 +62,7 @@
     least: int = 12  # upstreams of each balancer
     degree: int = 12  # balancers of each upstream, in the mean
     zones: bool = False  # own zone first, others for what it can't bear
+    self_index: int | None = None  # of the pool's balancers, from 0: the view, where nobody tells one
     hold: Span = Span(60 * S)  # how long a view that may be of a part cut off narrows nothing
 
 
@@ -116,6 +117,7 @@
     name: str | None = None  # the same after a restart; where the others send to, if left out
     zone: str = ""
     weight: float = 1.0
+    demand: bool = False  # its weight is what it is asked, transactions a second, told as it changes
     seeds: list[str] = []
     seeds_file: str | None = None  # in discovery's form, watched
     seeds_discovery: str | None = None
--- a/dahliabend/subsets/choice.py
+++ b/dahliabend/subsets/choice.py
@@ -16,6 +16,7 @@
 DEGREE = 12  # balancers that use an upstream, in the mean at the least, where there are so many
 SURE = 2  # balancers that use an upstream whatever chance says: its own first ranks
 BEARS = 11 / 10  # of its part of the capacity: what a zone takes at home before others take any
+AT_ONCE = 1 << 16  # pairs ranked at once
 FITS = 60  # rounds of fitting at the most
 CLOSE = 1e-3  # of its share: how near to even the fitting comes
 
@@ -56,12 +57,18 @@
 
 def ranks(balancers: Sequence[str], upstreams: Sequence[str]) -> np.ndarray:
     """A number from 0 to 1 for each pair: splitmix64's mixing (Steele and others, 2014) of both seeds."""
+    ours, theirs = seeds(balancers), seeds(upstreams)
+    made = np.empty((len(ours), len(theirs)))
+    some = max(1, AT_ONCE // max(1, len(theirs)))
     with np.errstate(over="ignore"):
-        mixed = seeds(balancers)[:, None] ^ (seeds(upstreams)[None, :] * np.uint64(0x9E3779B97F4A7C15))
-        mixed = (mixed ^ (mixed >> np.uint64(30))) * np.uint64(0xBF58476D1CE4E5B9)
-        mixed = (mixed ^ (mixed >> np.uint64(27))) * np.uint64(0x94D049BB133111EB)
-        mixed ^= mixed >> np.uint64(31)
-    return (mixed >> np.uint64(11)).astype(np.float64) / (1 << 53)
+        theirs = theirs * np.uint64(0x9E3779B97F4A7C15)
+        for at in range(0, len(ours), some):  # by parts that a processor's cache holds: a quarter of the time
+            mixed = ours[at : at + some, None] ^ theirs[None, :]
+            for shift, by in ((30, 0xBF58476D1CE4E5B9), (27, 0x94D049BB133111EB), (31, 1)):
+                mixed ^= mixed >> np.uint64(shift)
+                mixed *= np.uint64(by)
+            np.multiply(mixed >> np.uint64(11), 1 / (1 << 53), out=made[at : at + some])
+    return made
 
 
 def sizes(names: Sequence[str], demand: np.ndarray, upstreams: int, least: int, degree: int) -> np.ndarray:
@@ -82,29 +89,34 @@
 
 def covered(rank: np.ndarray) -> np.ndarray:
     """And of each column the highest: few balancers with small subsets would leave one to nobody."""
-    sure = min(SURE, rank.shape[0])
-    return rank >= np.partition(rank, -sure, axis=0)[-sure]
+    least = rank.max(axis=0)
+    for _ in range(min(SURE, rank.shape[0]) - 1):
+        least = np.where(rank < least, rank, -1.0).max(axis=0)
+    return rank >= least
 
 
 def fit(start: np.ndarray, demand: np.ndarray, capacity: np.ndarray) -> np.ndarray:
     """Shares on the pairs that have one at the start, whose rows sum to the demands and whose columns to the
     capacities, as near as these pairs allow."""
     rows, columns = np.nonzero(start)
-    shares = start[rows, columns]
+    made = np.zeros(start.shape)
+    made[rows, columns] = fit_pairs(rows, columns, start[rows, columns], demand, capacity)
+    return made
+
+
+def fit_pairs(rows, columns, shares: np.ndarray, demand: np.ndarray, capacity: np.ndarray) -> np.ndarray:
+    """The same on the pairs alone: the share of each, in their order."""
 
     def of_rows() -> np.ndarray:
         return demand / np.maximum(np.bincount(rows, shares, len(demand)), 1e-300)
 
     for _ in range(FITS):
-        shares *= of_rows()[rows]
+        shares = shares * of_rows()[rows]
         sums = np.bincount(columns, shares, len(capacity))
         if np.abs(sums / capacity - 1).max() <= CLOSE:
             break
         shares *= (capacity / np.maximum(sums, 1e-300))[columns]
-    shares *= of_rows()[rows]
-    made = np.zeros(start.shape)
-    made[rows, columns] = shares
-    return made
+    return shares * of_rows()[rows]
 
 
 def flows(demand: dict[str, float], capacity: dict[str, float]) -> dict[tuple[str, str], float]:
@@ -169,11 +181,14 @@
 
 def block(rows, columns, demand: np.ndarray, capacity: np.ndarray, least: int, degree: int) -> np.ndarray:
     rank = ranks(rows, columns)
-    taken = first(rank, sizes(rows, demand, len(columns), least, degree)) | covered(rank)
-    return fit(taken * demand[:, None] * capacity[None, :], demand, capacity)
+    pairs = np.nonzero(first(rank, sizes(rows, demand, len(columns), least, degree)) | covered(rank))
+    made = np.zeros(rank.shape)
+    made[pairs] = fit_pairs(*pairs, demand[pairs[0]] * capacity[pairs[1]], demand, capacity)
+    return made
 
 
 def parts(parties: Sequence[Party]) -> np.ndarray:
+    """Of all weight, each one's."""
     weights = np.array([party.weight if party.weight > 0 else 1.0 for party in parties], dtype=float)
     return weights / weights.sum()
 
--- a/dahliabend/subsets/keeper.py
+++ b/dahliabend/subsets/keeper.py
@@ -6,10 +6,13 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from dahliabend.subsets.choice import DEGREE, LEAST, Party, choose, ranks
+from dahliabend.subsets.demand import UNTOLD
+from dahliabend.subsets.flaps import Flaps
 
+FLAPS = 1 / 2  # of the list: more that go at once are no flapping of theirs
 CLOSE = 1 / 50  # of a weight: a smaller change of it alone is not worth telling
 
 
@@ -20,6 +23,7 @@
     least: int = LEAST
     degree: int = DEGREE
     zones: bool = False
+    by: str = "members"  # who tells the view
     balancers: int = 1  # how many there are, where no view tells
     hold: int = 60_000_000  # how long a doubtful view narrows nothing
     beat: int = 1_000_000
@@ -36,15 +40,27 @@
     weights: dict[str, float] = field(default_factory=dict)
     added: list[str] = field(default_factory=list)  # by the last step
     dropped: list[str] = field(default_factory=list)
-    by: str = "name"  # members, both (doubtful: two views), name (no view)
+    by: str = "name"  # members (or index), both (doubtful: two views), name (no view)
     balancers: int = 1
     sharing: float = 1.0  # balancers that share each of these, in the mean, by this one's part of the demand
 
 
+def counted(balancers: Sequence[Party]) -> Sequence[Party]:
+    """One that has not told its demand yet counts as the others in the mean: at its own start, or the
+    fleet's, those that tell first would be taken for the only ones with callers."""
+    said = [party.weight for party in balancers if party.weight > UNTOLD]
+    if len(said) == len(balancers):
+        return balancers
+    mean = sum(said) / len(said) if said else 1.0
+    return [party if party.weight > UNTOLD else replace(party, weight=mean) for party in balancers]
+
+
 class Keeper:
     def __init__(self, me: Party, terms: Terms) -> None:
         self.me, self.terms = me, terms
-        self.upstreams: dict[str, Party] = {}
+        self.listed: dict[str, Party] = {}
+        self.upstreams: dict[str, Party] = {}  # of these, those that don't rest from flapping
+        self.flaps = Flaps()
         self.sure: tuple[Party, ...] = ()
         self.doubtful: tuple[Party, ...] = ()
         self.doubted = 0  # since when
@@ -62,7 +78,7 @@
 
     def sees(self, now: int, balancers: Sequence[Party], sure: bool) -> None:
         """The settled view, this one in it. Not sure: it may be that of a part cut off, or old."""
-        told = tuple(sorted(balancers, key=lambda party: party.name))
+        told = tuple(sorted(counted(balancers), key=lambda party: party.name))
         if sure:
             self.stale = self.stale or told != self.sure or bool(self.doubtful)
             self.sure, self.doubtful = told, ()
@@ -75,11 +91,22 @@
         parties = [Party(m.name, m.zone, m.weight) for m in settled.members if m.state != "unreached"]
         self.sees(now, parties, sure=not (settled.cut or latest.cut or latest.outcast))
 
-    def lists(self, upstreams: Sequence[Party]) -> None:
+    def lists(self, now: int, upstreams: Sequence[Party]) -> None:
         """All that can be used, as the list has them."""
         told = {party.name: party for party in upstreams}
-        if told != self.upstreams:
-            self.upstreams, self.stale = told, True
+        if told == self.listed:
+            return
+        gone = [name for name in self.listed if name not in told]
+        if len(gone) < len(self.listed) * FLAPS:  # else it is the list that has changed, not they
+            self.flaps.departed(now, gone)
+        self.listed = told
+        self.rested(now)
+
+    def rested(self, now: int) -> None:
+        rest = self.flaps.rest(now, self.listed)
+        made = {name: party for name, party in self.listed.items() if name not in rest}
+        if made != self.upstreams:
+            self.upstreams, self.stale = made, True
 
     def held_back(self, usable: int) -> None:
         """How many of those in use can be sent to now. Each widens along its own ranks: not all onto the same
@@ -97,6 +124,8 @@
         """The subset, where it has changed. `pinned` are not dropped: an operator holds them."""
         if self.doubtful and now >= self.doubted + self.terms.hold:
             self.sure, self.doubtful, self.stale = self.doubtful, (), True
+        if self.flaps.resting:
+            self.rested(now)
         if self.stale:
             self.target()
         lost = [name for name in self.using if name not in self.upstreams]
@@ -145,11 +174,12 @@
         own = ranks([self.me.name], names)[0] if names else ()
         self.order = [name for _, name in sorted(zip(own, names, strict=True), reverse=True)]
         views = [view for view in (self.sure, self.doubtful) if any(p.name == self.me.name for p in view)]
-        self.by = ("name", "members", "both")[len(views)]
+        self.by = ("name", self.terms.by, "both")[len(views)]
         self.balancers = max((len(view) for view in views), default=self.terms.balancers)
         # In doubt the smaller part: the larger would let in what the others may still be sending.
-        self.part = min((self.me.weight / sum(p.weight for p in view) for view in views),
-                        default=1.0 / self.terms.balancers)  # fmt: skip
+        parts = (sum(p.weight for p in view if p.name == self.me.name) / sum(p.weight for p in view)
+                 for view in views)  # fmt: skip
+        self.part = min(parts, default=1.0 / self.terms.balancers)
         if not views:
             return self.alone()
         made: dict[str, float] = {}
--- a/experiments/subset_work.py
+++ b/experiments/subset_work.py
@@ -23,9 +23,10 @@
 from dahliabend.subsets.keeper import Terms  # noqa: E402
 
 MANY, POOL, RATE, ZONES = 40, 60, 330.0, 3
+FULL = {"uneven": 450.0, "most": 120.0}  # another rate
 BEFORE, AFTER = 20, 25  # seconds
 DRAWS = 2_000  # of a bootstrap
-WAYS = {"none": None, "subsets": Terms(balancers=MANY)}
+WAYS = {"none": (None, False), "subsets": (Terms(balancers=MANY), False), "with demand": (Terms(balancers=MANY), True)}
 
 
 def act(made, what, whom=(), span=0, wait=0, **more):
@@ -103,13 +104,50 @@
         made.run(7 * S * 10 // (POOL * 6))
 
 
-SCENARIOS = {"calm": calm, "bad": bad, "herd": herd, "rolling": rolling, "zone": zone, "split": split, "join": join}
+def half(made, chance):
+    """Half of the pool hangs for 12 s: takes all and answers nothing."""
+    some = [made.places[name] for name in names(chance.sample(range(POOL), POOL // 2))]
+    for node in some:
+        node.hung = True
+    made.run(12 * S)
+    for node in some:
+        node.hung = False
+
+
+def most(made, chance):
+    """Seven in ten hang for 12 s, with few callers: subsets widen."""
+    some = [made.places[name] for name in names(chance.sample(range(POOL), POOL * 7 // 10))]
+    for node in some:
+        node.hung = True
+    made.run(12 * S)
+    for node in some:
+        node.hung = False
+
+
+def flap(made, chance):
+    """One upstream comes and goes, 1 s out of 3, for a minute."""
+    name = f"u{chance.randrange(POOL)}"
+    for _ in range(20):
+        made.take_down(made.places[name])
+        made.run(S)
+        made.bring_up(name)
+        made.run(2 * S)
+
+
+def uneven(made, chance):
+    """A quarter of all callers come to one balancer, for 40 s, with 75% of what all bear in all."""
+    made.heavy = 1 / 4
+    made.run(40 * S)
+    made.heavy = 0.0
+
+
+SCENARIOS = {"half": half, "most": most, "flap": flap, "uneven": uneven, "calm": calm, "bad": bad, "herd": herd, "rolling": rolling, "zone": zone, "split": split, "join": join}
 FIGURES = ("share", "p99", "links", "most links", "shakes", "probes", "fallen", "moved")
 
 
 def play(task) -> dict:
     scenario, way, seed = task
-    made = Work(Fleet(seed=seed, instances=MANY, delay=Span(2_000)), POOL, RATE, WAYS[way], zones=ZONES)
+    made = Work(Fleet(seed=seed, instances=MANY, delay=Span(2_000)), POOL, FULL.get(scenario, RATE), WAYS[way][0], zones=ZONES, demand=WAYS[way][1])
     made.begin()
     made.run(BEFORE * S)
     made.forget()
--- a/tests/subsets/test_keeper.py
+++ b/tests/subsets/test_keeper.py
@@ -17,7 +17,7 @@
 def keeper(balancers=20, upstreams=60, now=S, **terms):
     made = Keeper(Party("b0"), Terms(**terms))
     made.sees(now, parties("b", range(balancers)), sure=True)
-    made.lists(parties("u", range(upstreams)))
+    made.lists(now, parties("u", range(upstreams)))
     return made
 
 
@@ -45,7 +45,7 @@
     made = keeper()
     size = len(made.step(S).weights)
     made.sees(2 * S, parties("b", [0, *range(100, 119)]), sure=True)
-    made.lists(parties("u", range(10, 75)))  # ten go, fifteen come
+    made.lists(2 * S, parties("u", range(10, 75)))  # ten go, fifteen come
     steps = run(made, 3 * S, 60)
     target = wanted([0, *range(100, 119)], range(10, 75))
     assert set(made.using) == target
@@ -59,7 +59,7 @@
     least = len(made.step(S).weights)
     for second in range(7):
         gone = range(4 * (second + 1))
-        made.lists(parties("u", [*range(len(gone), 40), *range(100, 100 + len(gone))]))
+        made.lists((2 + second) * S, parties("u", [*range(len(gone), 40), *range(100, 100 + len(gone))]))
         said = made.step((2 + second) * S)
         assert said is None or len(said.weights) >= least * 7 // 8
         assert set(made.using) <= set(made.upstreams)
@@ -88,7 +88,7 @@
     assert len(made.using) == 2 * size
     other = Keeper(Party("b1"), made.terms)
     other.sees(S, parties("b", range(60)), sure=True)
-    other.lists(parties("u", range(60)))
+    other.lists(S, parties("u", range(60)))
     other.step(S)
     for beat in range(20):
         other.held_back(2)
@@ -114,7 +114,7 @@
 
 def test_without_a_view_it_goes_by_its_name_and_says_so():
     made = Keeper(Party("b0"), Terms(balancers=20))
-    made.lists(parties("u", range(60)))
+    made.lists(S, parties("u", range(60)))
     said = made.step(S)
     assert (
         said.by == "name"
@@ -129,9 +129,9 @@
     made.sees(2 * S, parties("b", [0, *range(200, 219)]), sure=True)
     run(made, 3 * S, 60, held)
     assert held <= set(made.using)
-    made.lists([])
+    made.lists(99 * S, [])
     assert made.step(100 * S).weights == {} and made.step(103 * S) is None
-    made.lists(parties("u", range(5)))
+    made.lists(104 * S, parties("u", range(5)))
     assert len(made.step(105 * S).weights) == 5
 
 
--- a/tests/subsets/test_narrowed.py
+++ b/tests/subsets/test_narrowed.py
@@ -57,6 +57,18 @@
     assert router.balancer.balancers == pytest.approx(len(router.told[-1]) * 20 / 30)
 
 
+def test_by_their_numbers_all_come_to_one_relation_without_a_fleet():
+    load, sizes = dict.fromkeys((f"u{n}" for n in range(30)), 0.0), set()
+    for index in range(20):
+        made, router = narrowed(least=6, degree=4, self_index=index)
+        made.listed(rows(range(30)), full=True)
+        assert made.shown()["by"] == "index" and made.shown()["balancers"] == 20
+        sizes.add(made.shown()["size"])
+        for name, weight in made.now.weights.items():
+            load[name] += weight / made.shown()["size"]
+    assert max(load.values()) <= 1.02 * sum(load.values()) / 30 and max(sizes) <= 9
+
+
 def test_a_drain_of_one_in_use_is_told_at_once_and_of_another_not_at_all():
     made, router = narrowed(least=6, degree=4)
     made.listed(rows(range(30)), full=True)
@@ -91,6 +103,7 @@
         ('hold = "0s"', "pools.p.subset.hold: 0s is not above 0"),
         ("hold = 5", "pools.p.subset.hold: 5 has no unit"),
         ("size = 5", "pools.p.subset.size: is no key here"),
+        ("self-index = 1", "pools.p.subset.self-index: 1 is not between 0 and 0: see balancers"),
     ],
 )
 def test_a_fault_of_the_table_is_told_by_line(tmp_path, text, says):
