A subset that is silent as a whole widens; its balancer's callers are served again

A first sign, hops out for longer than a window, never came: where late answers are worth nothing hops end at the service goal, a window.

Change: keeper.answering: none counts where three or more were asked in vain since the last answer, a window ago.

--- a/dahliabend/emulator/fleets/work.py
+++ b/dahliabend/emulator/fleets/work.py
@@ -21,7 +21,7 @@
 from dahliabend.model import Effect, Group, Outcome, Profile, Settings, State
 from dahliabend.subsets.choice import Party
 from dahliabend.subsets.demand import UNTOLD, Demand
-from dahliabend.subsets.keeper import Keeper, Terms
+from dahliabend.subsets.keeper import Keeper, Terms, answering
 
 MS = 1_000
 LOOK = 250 * MS  # how often a subset is looked at, as in a pool
@@ -233,7 +233,7 @@
         if machine is not None and (settled := machine.settled(work.now)) is not None:
             keeper.follows(work.now, settled, machine.view(work.now))
         if self.weights:
-            keeper.held_back(sum(not upstream.aside for upstream in self.balancer.ready))
+            keeper.held_back(answering(self.balancer, work.now))
         made = keeper.step(work.now)
         if made is None:
             return False
--- a/dahliabend/net/program/narrowed.py
+++ b/dahliabend/net/program/narrowed.py
@@ -10,7 +10,7 @@
 from dahliabend.net.transport.deadlines import Deadlines, clock
 from dahliabend.settings import types
 from dahliabend.subsets.choice import Party
-from dahliabend.subsets.keeper import Keeper, Subset, Terms
+from dahliabend.subsets.keeper import Keeper, Subset, Terms, answering
 
 LOOK = 250_000  # how often it looks whether something has to move
 
@@ -71,7 +71,7 @@
             self.keeper.follows(now, settled, fleet.view())
         balancer = self.router.balancer
         if self.now.weights:
-            self.keeper.held_back(sum(not upstream.aside for upstream in balancer.ready))
+            self.keeper.held_back(answering(balancer, now))
         made = self.keeper.step(now, frozenset(self.router.excluded & self.now.weights.keys()))
         if made is None:
             return False
--- a/dahliabend/subsets/keeper.py
+++ b/dahliabend/subsets/keeper.py
@@ -13,6 +13,7 @@
 from dahliabend.subsets.flaps import Flaps
 
 FLAPS = 1 / 2  # of the list: more that go at once are no flapping of theirs
+SILENT = 3  # upstreams asked in vain since anybody answered: all are taken for silent
 CLOSE = 1 / 50  # of a weight: a smaller change of it alone is not worth telling
 
 
@@ -55,6 +56,19 @@
     return [party if party.weight > UNTOLD else replace(party, weight=mean) for party in balancers]
 
 
+def answering(balancer, now: int) -> int:
+    """Of those in use, how many can be sent to, as the decisions see them (`decide.Balancer`)."""
+    heard = balancer.last_heard
+    vain = sum(
+        u.ended > max(heard, u.filled) for u in balancer.ready
+    )  # a hop there has ended unanswered since
+    if now - heard >= balancer.window and vain >= min(SILENT, len(balancer.ready)) > 0:
+        # The decisions set nobody aside while all are silent: that is the tier's trouble. But these are only
+        # some of it, and the rest may answer.
+        return 0
+    return sum(not upstream.aside for upstream in balancer.ready)
+
+
 class Keeper:
     def __init__(self, me: Party, terms: Terms) -> None:
         self.me, self.terms = me, terms
--- a/tests/fleets/test_work.py
+++ b/tests/fleets/test_work.py
@@ -61,6 +61,33 @@
     assert made.counts["served"] >= 0.97 * (made.counts["asked"] - lost)
 
 
+def test_a_balancer_whose_whole_subset_hangs_widens_and_serves_again():
+    made = fleet(SUBSETS)
+    mine = made.copies[0]
+    for name in mine.weights:
+        made.places[name].hung = True
+    made.run(12 * S)
+    # While all that it knows is silent nobody is set aside: without another sign it would never widen.
+    assert mine.keeper.wider > 0
+    assert sum(not made.nodes[u.index].hung and u.answered > 0 for u in mine.balancer.ready) >= 4
+
+
+def test_demand_told_makes_room_for_one_that_many_come_to():
+    shares = []
+    for demand in (False, True):
+        made = Work(Fleet(seed=2, instances=MANY, delay=Span(2_000)), POOL, 225.0, SUBSETS, demand=demand)
+        made.heavy = 1 / 3
+        made.begin()
+        made.run(30 * S)
+        made.forget()
+        made.run(15 * S)
+        made.finish()
+        shares.append(made.figures.share)
+        size = len(made.copies[0].weights)
+        assert size > 20 if demand else size < 16
+    assert shares[1] > shares[0]
+
+
 def test_a_replaced_pool_is_followed_and_no_cold_upstream_falls():
     made = fleet(SUBSETS)
     for number in range(18):
--- a/tests/subsets/test_narrowed.py
+++ b/tests/subsets/test_narrowed.py
@@ -18,13 +18,13 @@
         self.yard = SimpleNamespace(
             indices={}, once={}, remember=lambda name: self.yard.once.update({name: None})
         )
-        self.balancer = SimpleNamespace(ready=[])
+        self.balancer = SimpleNamespace(ready=[], window=1, last_heard=0)
 
     def listed(self, rows, full):
         assert full
         self.told.append({row[0]: row for row in rows})
         self.yard.indices = dict.fromkeys(row[0] for row in rows)
-        self.balancer.ready = [SimpleNamespace(aside=False) for row in rows]
+        self.balancer.ready = [SimpleNamespace(aside=False, ended=0, filled=0) for row in rows]
 
     def list_failed(self):
         self.failed += 1
