Signals: balancers tell each other which upstreams fail, weighed, never a command

Change: dahliabend/signals (free of I/O): what was seen, a map of each origin's latest (state-based, order and repeats don't matter), belief (three origins or a tenth of those telling, three hops of each, two in five bad, own answered hops first, a third of a pool at the most), gossip (three members a beat of 500 ms, 1,200 bytes, nothing in calm). Membership carries it (Said).

--- a/dahliabend/cli/commands.py
+++ b/dahliabend/cli/commands.py
@@ -13,6 +13,7 @@
     "members": "dahliabend.cli.members:members",
     "rig": "dahliabend.cli.rig:rig",
     "subset": "dahliabend.cli.subset:subset",
+    "signals": "dahliabend.cli.signals:signals",
 }
 HELP = {
     "emulate": "The network code on a virtual clock, against faults from seeds or files.",
@@ -22,6 +23,7 @@
     "diff": "What a reload from one file to another would change.",
     "members": "Who else balances: alive, suspected, gone, by whom and since when.",
     "rig": "Real processes of the program on loopback, with faults between them.",
+    "signals": "What balancers tell each other of upstreams, and what is believed.",
     "subset": "Who of many balancers uses which upstreams, and what an event moves.",
 }
 
--- a/dahliabend/decide.py
+++ b/dahliabend/decide.py
@@ -77,10 +77,9 @@
 
     def __init__(self, index: int, rank: bytes, profiles: int) -> None:
         self.index, self.rank, self.state, self.born = index, rank, State.GONE, -1
-        self.weight, self.cell, self.zone = 1.0, 0, 0
+        self.weight, self.cell, self.zone, self.aside = 1.0, 0, 0, False
         self.entries = [Entry() for _ in range(profiles + 1)]  # by profile; the last is the upstream's own
         self.held: dict[Transaction, Hop] = {}  # the hops out
-        self.aside = False
 
     def begin(self, born: int, now: int, chance: float) -> None:
         """A process just started, or seen for the first time: nothing known of an earlier one holds."""
@@ -210,8 +209,7 @@
         # Hops in flight, but for those at upstreams set aside; how many are let in, found, were served well.
         self.out, self.ceiling, self.crowd, self.borne, self.others = 0, 0.0, 0.0, 0.0, 1 - 1 / s.balancers
         self.weighed = self.served = self.last_heard = self.beats = self.sent = self.first_tries = 0
-        self.held_back = self.pressed = self.awake = False
-        self.beside = 0  # hops in flight of another process that is the same balancer to its upstreams
+        self.held_back, self.pressed, self.awake, self.beside = False, False, False, 0  # hops of its twin
         self.send_rate, self.credit = 0.0, 1.0  # hops a microsecond; retries to spend
         self.lines = Lines(s.order_pause, port)
 
@@ -383,9 +381,8 @@
         risk = tx.risk() if tx.kind.effect is Effect.JOURNALLED else None
         used = [hop.upstream for hop in tx.hops]
         # Crossing zones is priced: for the share that the near ones serve too badly, or for want of them.
-        first, second = self.using, self.abroad
-        if self.abroad and self.chance() < self.home.share(now):
-            first, second = second, first
+        out = self.abroad and self.chance() < self.home.share(now)
+        first, second = (self.abroad, self.using) if out else (self.using, self.abroad)
         for pool, careful in (first, True), (second, True), (self.ready, True), (self.ready, False):
             well, total, best = [u for u in pool if not u.aside], 0.0, None
             weights, loads = sum(u.weight for u in well), sum(len(u.held) for u in well)
@@ -527,8 +524,7 @@
 
     def set_aside(self, u: Upstream, now: int) -> None:
         if not u.aside:
-            u.aside, u.since = True, now
-            u.strikes += 1
+            u.aside, u.since, u.strikes = True, now, u.strikes + 1
             self.out -= len(u.held)  # what hangs there is no crowd elsewhere
             self.narrow()
 
@@ -542,6 +538,11 @@
             elif u.aside:
                 self.bring_back(u, now)
 
+    def told(self, index: int, tried: int, bad: int) -> None:
+        """Hops of others there, so many as are believed: in its window they count as own ones do."""
+        if u := self.upstreams.get(index):
+            u.entries[-1].tried, u.entries[-1].bad = u.entries[-1].tried + tried, u.entries[-1].bad + bad
+
     def bring_back(self, u: Upstream, now: int) -> None:
         u.aside, u.heard, u.entries[-1].metric = False, now, 0.0
         self.out += len(u.held)
--- a/dahliabend/emulator/fleets/model.py
+++ b/dahliabend/emulator/fleets/model.py
@@ -208,6 +208,8 @@
 
     def holds(self, step: Step) -> bool:
         awake = self.awake()
+        if step.until == "believed":
+            return True  # nothing is asked of upstreams here
         if step.until == "out":
             gone = {f"b{number}" for number in step.whom}
             return all(not gone & self.town.sees(name) for name in awake if name not in gone)
--- a/dahliabend/emulator/fleets/script.py
+++ b/dahliabend/emulator/fleets/script.py
@@ -2,8 +2,9 @@
 
 Steps come one after another. A step does something, for its `span` where that ends by itself; then it waits
 `wait`, and until its condition holds (`out`: those named are in nobody's view; `agree`: all that run see the
-same, and each other; `even`: that, and what all say that they use adds up; upstreams rest from then on). A
-condition that does not come within its time is a broken rule.
+same, and each other; `even`: that, and what all say that they use adds up; upstreams rest from then on;
+`believed`: somebody's decisions were told what others say). A condition that does not come within its time is
+a broken rule.
 """
 
 from random import Random
@@ -20,7 +21,7 @@
 
 What = Literal[
     "calm", "kill", "start", "restart", "stop", "block", "leave", "hand", "cut", "split", "lose", "delay",
-    "double", "strangers", "mend",
+    "double", "strangers", "mend", "bad",
 ]  # fmt: skip
 NAMED = {"kill", "start", "restart", "stop", "block", "leave", "hand"}  # these name instances
 WAYS = {"cut", "split", "lose", "delay", "double"}  # these change ways between them
@@ -29,13 +30,14 @@
 class Step(Table):
     what: What = "calm"
     whom: list[int] = []  # empty for ways: all
-    to: list[int] = []  # of a cut: only what goes from `whom` to these is lost; empty: to all
+    to: list[int] = []  # of a cut: only what goes from `whom` to these is lost; empty: to all. Of bad:
+    # upstreams, between processes alone, of which nine hops in ten fail for the span
     parts: list[list[int]] = []  # of a split: no way between these
     size: float = 0.0  # of lose, double: the share of datagrams
     delay: Span = Span(0)  # at the most, drawn evenly: datagrams overtake each other
     span: Span = Span(0)  # 0: until `mend`, or for good
     wait: Span = Span(0)
-    until: Literal["", "out", "agree", "even"] = ""
+    until: Literal["", "out", "agree", "even", "believed"] = ""
     within: Span = Span(0)  # for the condition; 0: what the terms allow
 
 
@@ -50,6 +52,7 @@
     late: list[int] = []  # not started at first
     delay: Span = Span(MS)  # of a datagram, in the mean
     subset: int = 0  # between processes: the least, and the degree, of the pool's subsets; 0: none
+    signals: bool = False  # between processes: they tell each other of upstreams
     steps: list[Step] = []
     why: str = ""
 
@@ -89,7 +92,12 @@
     for number, step in enumerate(fleet.steps):
         here = f"steps[{number}]"
         instances(f"{here}.whom", step.whom)
-        instances(f"{here}.to", step.to)
+        if step.what != "bad":
+            instances(f"{here}.to", step.to)
+        elif not step.to or step.span <= 0:
+            raise ValueError(f"$.{here}.to: which upstreams, and for which span?")
+        if step.until == "believed" and not fleet.signals:
+            raise ValueError(f"$.{here}.until: believed says something only where the fleet has signals")
         for part in step.parts:
             instances(f"{here}.parts", part)
         if step.what in NAMED and not step.whom:
--- a/dahliabend/emulator/fleets/work.py
+++ b/dahliabend/emulator/fleets/work.py
@@ -19,6 +19,8 @@
 from dahliabend.members.machine import Machine
 from dahliabend.members.machine import Terms as MemberTerms
 from dahliabend.model import Effect, Group, Outcome, Profile, Settings, State
+from dahliabend.signals.board import Report, Row
+from dahliabend.signals.gossip import BEAT, Gossip
 from dahliabend.subsets.choice import Party
 from dahliabend.subsets.demand import UNTOLD, Demand
 from dahliabend.subsets.keeper import Keeper, Terms, answering
@@ -37,6 +39,7 @@
     Profile(Effect.IDEMPOTENT, Group.ALL, 0, GOAL, LIMIT, 1.0, 0.0),
     Profile(Effect.NON_IDEMPOTENT, Group.ALL, 0, GOAL, LIMIT, 2.0, 0.0),
 )
+POOL = "main"
 SUBMITS = 0.3  # of the transactions
 
 
@@ -80,6 +83,12 @@
         self.keeper: Keeper | None = None
         self.weights: dict[str, float] = {}
         self.demand = Demand() if work.demand else None
+        self.gossip: Gossip | None = None
+        if work.signals:
+            chance = Random(f"signals {work.fleet.seed} {number} {life}")
+            self.gossip = Liar(work, number, life, chance) if number in work.liars else Gossip(
+                f"b{number}", life, chance
+            )  # fmt: skip
         if work.subset is not None:
             self.keeper = Keeper(work.party(number), work.subset)
 
@@ -136,6 +145,8 @@
         self.busy[node.index] -= 1
         if outcome in (Outcome.COMMITTED, Outcome.ERROR, Outcome.FULL) and node.index in self.links:
             self.links[node.index].append(work.now)  # else it has left the list, or the subset, meanwhile
+        if self.gossip is not None:
+            self.gossip.ended(work.now, POOL, node.name, outcome)
         if outcome is Outcome.COMMITTED and not asked.answered:
             self.answer(asked, "served" if work.now - asked.at <= GOAL else "late")
         if asked.handle is not None:
@@ -227,6 +238,28 @@
         if self.move():
             self.tell_rows()
 
+    def gossips(self) -> None:
+        """A beat of signals: what the others told is believed or not, and its own goes out."""
+        work, gossip, machine = self.work, self.gossip, self.work.machine(self.number)
+        if not self.alive:
+            return
+        work.at(work.now + BEAT, self.gossips)
+        members = machine.view(work.now).names()
+        indices = {work.nodes[u.index].name: u.index for u in self.balancer.ready if not u.aside}
+
+        def told(name: str, tried: int, bad: int) -> None:
+            work.counts["believed"] += 1
+            self.balancer.told(indices[name], tried, bad)
+
+        gossip.tell(work.now, POOL, set(indices), members, told)
+        gossip.beat(work.now, sorted(members))
+        out, gossip.out = gossip.out, []
+        for name, data in out:
+            work.counts["signal bytes"] += len(data)
+            town = work.town
+            if (machine.name, name) not in town.cut and work.luck.random() >= town.loss:
+                work.at(work.now + WAY, work.told, int(name[1:]), data)
+
     def move(self) -> bool:
         work, keeper = self.work, self.keeper
         machine = work.machine(self.number)
@@ -257,18 +290,38 @@
             del self.links[index]
 
 
+class Liar(Gossip):
+    """One that tells what is not so: `dead` (all fail), `well` (nothing does), `old` (its first report for
+    ever, as new)."""
+
+    def __init__(self, work: "Work", number: int, life: int, chance: Random) -> None:
+        super().__init__(f"b{number}", life, chance)
+        self.work, self.how = work, work.liars[number]
+        self.first: list[Row] = []
+
+    def report(self, now: int) -> Report:
+        made = super().report(now)
+        self.first = self.first or made.rows
+        bad = 3 if self.how == "dead" else 0
+        rows = [Row(POOL, name, 3, bad) for name in sorted(self.work.places)][:40]
+        return Report(made.origin, made.life, made.number, 0, 0, self.first if self.how == "old" else rows)
+
+
 class Work(Model):
     """As the model, at work. `subset` None: each uses all, and there is no membership."""
 
     def __init__(
         self, fleet: Fleet, upstreams: int = 60, rate: float = 330.0, subset: Terms | None = None,
         kind: Kind | None = None, members: MemberTerms | None = None, zones: int = 1, demand: bool = False,
+        signals: bool = False, liars: dict[int, str] | None = None,
     ) -> None:  # fmt: skip
-        """`demand`: balancers tell the others how much they are asked. `heavy` of the balancers' callers go
+        """`signals`: balancers tell each other of upstreams, `liars` of them what is not so. `demand`: they
+        tell the others how much they are asked. `heavy` of the balancers' callers go
         to the first one where it is set, else all to all alike."""
         super().__init__(fleet, members)
         self.kind, self.rate, self.subset = kind or Kind(), rate, subset
         self.demand, self.heavy = demand, 0.0
+        self.signals, self.liars = signals, liars or {}
         self.zone_names = [f"z{n}" for n in range(zones)]
         self.figures, self.clock = Figures(), S
         self.counts = self.figures.counts
@@ -303,7 +356,9 @@
             self.clock = until
             while self.undo and self.undo[0][0] <= until:
                 self.over(self.undo.pop(0)[1])
-            if self.subset is not None:  # else nobody listens to the members: they stand still
+            if (
+                self.subset is not None or self.signals
+            ):  # else nobody listens to the members: they stand still
                 self.town.run(max(0, until - self.town.now))
 
     def machine(self, number: int) -> Machine | None:
@@ -330,7 +385,7 @@
         """The whole fleet, everybody knowing everybody; then the callers come."""
         for number in range(self.fleet.instances):
             self.start(number)
-        if self.subset is not None:
+        if self.subset is not None or self.signals:
             self.know_all()
         self.at(self.clock, self.come)
         self.at(self.clock, self.note)
@@ -342,6 +397,8 @@
         copy = self.copies[number] = Copy(self, number, self.lives[number])
         copy.listed({name: self.row(node) for name, node in self.places.items()})
         copy.look()
+        if copy.gossip is not None:
+            self.at(self.clock + self.luck.randrange(BEAT), copy.gossips)
         self.front.append(number)
 
     def end(self, number: int) -> Machine | None:
@@ -353,6 +410,11 @@
         self.at(self.clock + NOTICED, self.noticed, number)
         return super().end(number)
 
+    def told(self, number: int, data: bytes) -> None:
+        copy = self.copies.get(number)
+        if copy is not None and copy.gossip is not None:
+            copy.gossip.received(self.clock, data)
+
     def noticed(self, number: int) -> None:
         if number not in self.copies:
             self.front = [other for other in self.front if other != number]
--- a/dahliabend/members/machine.py
+++ b/dahliabend/members/machine.py
@@ -15,11 +15,12 @@
 from dahliabend.members import wire
 from dahliabend.members.serials import Serials
 from dahliabend.members.view import Seen, State, View, mark
-from dahliabend.members.wire import Ack, Ask, Body, Nack, Packet, Ping, Refused, Rumour, Standing, Whole
+from dahliabend.members.wire import Ack, Ask, Body, Nack, Packet, Ping, Refused, Rumour, Said, Standing, Whole
 
 HERE = (Standing.ALIVE, Standing.SUSPECT)
 MUTE, BACK = 8, 2  # probes that others had to help with until one is told as unreachable; each own answer
 # takes back two: under even loss of three in ten datagrams, where half of the probes need help, it stays low
+UNHEARD = 64  # sayings that wait to be taken at the most
 KNOCKS = 6  # times that one thought dead is told the table while the whole is exchanged once
 HEARD = 9 / 10  # of the members that another knows: one that joins knows enough
 PARTS = 4  # datagrams of the table for one that asks for it,
@@ -94,6 +95,7 @@
         self.gone: dict[str, None] = {}
         self.out: list[tuple[str, bytes]] = []  # address and datagram
         self.events: list[Event] = []
+        self.said: list[bytes] = []  # by members, for what stands on this
         self.fresh: dict[str, bytes] = {}  # rumours not passed on yet, packed
         self.told: dict[str, tuple[bytes, int]] = {}  # and how often those that were
         self.queue: list[str] = []  # whom to probe next, a shuffled round
@@ -208,6 +210,11 @@
         elif isinstance(body, Nack):
             if self.probe and self.probe.number == body.number:
                 self.probe.owed -= 1
+        elif isinstance(body, Said):
+            known = self.members.get(packet.sender)
+            here = known is not None and known.rumour.standing in HERE and known.rumour.life == packet.life
+            if here and len(self.said) < UNHEARD:  # of one that is gone, or a former life, nothing counts
+                self.said.append(body.data)
         elif body.wants:
             self.give_table(source, body.size, [rumour.name for rumour in packet.rumours])
         elif self.size() >= HEARD * body.size:
@@ -626,6 +633,12 @@
 
     # What goes out.
 
+    def say(self, name: str, data: bytes) -> None:
+        """To one member, for what stands on membership there."""
+        member = self.members.get(name)
+        if member is not None and member.rumour.standing in HERE:
+            self.send(member.rumour.address, Said(data), [])
+
     def sample(self, names: list[str], count: int) -> list[str]:
         return self.chance.sample(names, min(count, len(names)))
 
--- a/dahliabend/members/shell.py
+++ b/dahliabend/members/shell.py
@@ -23,6 +23,7 @@
         self.machine, self.seal, self.deadlines, self.heard = machine, seal, deadlines, heard
         self.transport: asyncio.DatagramTransport | None = None
         self.timer: list | None = None
+        self.listens: Callable[[list[bytes]], None] | None = None  # what stands on membership
         self.places: dict[str, tuple[str, int] | None] = {}
         self.sent = self.sent_bytes = self.come = self.come_bytes = 0
 
@@ -79,6 +80,9 @@
         events, machine.events = machine.events, []
         for event in events:
             self.heard(event)
+        said, machine.said = machine.said, []
+        if said and self.listens is not None:
+            self.listens(said)
         if self.timer is None or self.timer[0] != machine.due:
             self.deadlines.drop(self.timer)
             self.timer = self.deadlines.at(machine.due, self.wake)
--- a/dahliabend/members/wire.py
+++ b/dahliabend/members/wire.py
@@ -67,7 +67,13 @@
     size: int = 0
 
 
-Body = Ping | Ask | Ack | Nack | Whole
+class Said(msgspec.Struct, array_like=True, tag="s", frozen=True):
+    """For what stands on membership; what is in it is that part's to read."""
+
+    data: bytes
+
+
+Body = Ping | Ask | Ack | Nack | Whole | Said
 
 
 class Packet(msgspec.Struct, array_like=True, frozen=True):
--- a/dahliabend/net/program/events.py
+++ b/dahliabend/net/program/events.py
@@ -21,6 +21,11 @@
     "call": Event(
         "info", "an operator called, and it changed something or failed", ("method", "path", "status")
     ),
+    "believed": Event(
+        "info",
+        "several others find an upstream bad: the decisions were told so, as of own hops",
+        ("pool", "upstream", "origins"),
+    ),
     "committed": Event("debug", "never by itself: see access", ENDED),
     "cut": Event("warning", "an answer that had begun could not be finished", ENDED),
     "demand": Event("info", "this balancer tells the others how much it is asked", ("weight",)),
--- a/dahliabend/net/program/fleet.py
+++ b/dahliabend/net/program/fleet.py
@@ -22,10 +22,12 @@
 from dahliabend.net.transport.deadlines import Deadlines, clock
 from dahliabend.net.transport.descriptors import Descriptors
 from dahliabend.settings.types import Members
+from dahliabend.signals.gossip import BEAT, MS, Gossip
 from dahliabend.subsets.demand import UNTOLD, Demand
 
 KEEP_BEATS = 30  # periods between two writings of what is kept
 DIAL_TIME = 250_000
+LAST = 16  # beliefs kept to be shown
 
 
 class Kept(msgspec.Struct):
@@ -78,7 +80,12 @@
             life = max(life, self.kept.life + 1)
         weight = UNTOLD if settings.demand else settings.weight
         self.machine = Machine(self.name, life, self.place, terms, self.chance, settings.zone, weight)
+        self.gossip = Gossip(self.name, computer.wall(), self.chance) if settings.signals else None
+        self.pools: Callable[[], list[tuple]] = list  # names, and the routers whose decisions are told
+        self.believed: list[dict] = []  # the last that were told them
         self.shell = Shell(self.machine, self.seal_of(settings), deadlines, self.heard)
+        self.shell.listens = self.listen if self.gossip is not None else None
+        self.beating: list | None = None
         self.demand = Demand() if settings.demand else None
         self.told = Seeds(self.follow)
         self.lists: list[ListFile | Discovery] = []
@@ -101,6 +108,63 @@
         self.opened = True
         self.watch_lists()
         self.keep()
+        if self.gossip is not None:
+            self.signal()
+
+    # Signals.
+
+    def listen(self, said: list[bytes]) -> None:
+        for data in said:
+            self.gossip.received(clock(), data)
+
+    def saw(self, pool: str, upstream: str, outcome) -> None:
+        self.gossip.ended(clock(), pool, upstream, outcome)
+
+    def signal(self) -> None:
+        """A beat: what others told is believed or not, and what this one saw goes out."""
+        now, gossip = clock(), self.gossip
+        self.beating = self.deadlines.at(now + BEAT, self.signal)
+        members = {m.name for m in self.view().members if m.state != "unreached"}
+        for pool, router in self.pools():
+            balancer, places = router.balancer, router.yard.upstreams
+            indices = {places[u.index].name: u.index for u in balancer.ready if not u.aside}
+
+            def told(name: str, tried: int, bad: int, balancer=balancer, indices=indices) -> None:
+                balancer.told(indices[name], tried, bad)
+
+            for each in gossip.tell(now, pool, set(indices), members, told):
+                told_now = {"pool": pool, "upstream": each.name, "at": now, "origins": each.origins}
+                self.believed = [*self.believed[1 - LAST :], told_now]
+                self.log("believed", pool=pool, upstream=each.name, origins=each.origins)
+        gossip.beat(now, sorted(members))
+        out, gossip.out = gossip.out, []
+        for name, data in out:
+            self.machine.say(name, data)
+        self.shell.move()
+
+    def signals(self) -> dict | None:
+        """What this one tells, what others told it, and what was believed of it. Times: milliseconds ago."""
+        gossip, now = self.gossip, clock()
+        if gossip is None:
+            return None
+
+        def shown(rows) -> list[dict]:
+            return [{"pool": r.pool, "upstream": r.name, "tried": r.tried, "bad": r.bad} for r in rows]
+
+        origins = [
+            {"name": name, "age_ms": (now - held.since) // MS, "hops": held.report.hops,
+             "rows": shown(held.report.rows)}
+            for name, held in sorted(gossip.board.fresh(now).items())
+        ]  # fmt: skip
+        believed = [
+            {"pool": each["pool"], "upstream": each["upstream"], "origins": each["origins"],
+             "age_ms": (now - each["at"]) // MS}
+            for each in self.believed
+        ]  # fmt: skip
+        return {
+            "name": self.name, "own": shown(gossip.rows(now)), "origins": origins, "believed": believed,
+            "told": gossip.believed, "unread": gossip.unread, "refused": gossip.board.refused,
+        }  # fmt: skip
 
     # Seeds.
 
@@ -207,6 +271,7 @@
 
     def close(self) -> None:
         self.deadlines.drop(self.keeping)
+        self.deadlines.drop(self.beating)
         for each in self.lists:
             each.stop()
         self.shell.close()
--- a/dahliabend/net/program/operations.py
+++ b/dahliabend/net/program/operations.py
@@ -27,6 +27,7 @@
             b"/api/rejoin": (b"PUT", self.rejoin),
             b"/api/members": (b"GET", self.members),
             b"/api/subsets": (b"GET", self.subsets),
+            b"/api/signals": (b"GET", self.signals),
         }
 
     def __call__(self, method: bytes, path: bytes, body: bytes) -> Answer:
@@ -57,6 +58,10 @@
     def subsets(self, _: bytes) -> Answer:
         return said(200, pools=self.program.subsets())
 
+    def signals(self, _: bytes) -> Answer:
+        shown = self.program.signals()
+        return said(404, error="[members] has no signals") if shown is None else said(200, **shown)
+
     def exclude(self, body: bytes, out: bool = True) -> Answer:
         try:
             target = orjson.loads(body)["target"]
--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -170,6 +170,10 @@
         """By pool, the upstreams that this balancer uses, where it uses some."""
         return {}
 
+    def signals(self) -> dict | None:
+        """What balancers tell each other of upstreams, where they do."""
+        return None
+
     def exclude(self, name: str, out: bool) -> bool:
         known = self.router.exclude(name, out)
         if known and self.handover is not None:
--- a/dahliabend/net/program/service.py
+++ b/dahliabend/net/program/service.py
@@ -164,7 +164,12 @@
         from dahliabend.net.program.fleet import Fleet
 
         folder = os.path.dirname(os.path.abspath(self.path))
-        return Fleet(made.file.members, folder, self.deadlines, self.descriptors, self.seed, self.log)
+        fleet = Fleet(made.file.members, folder, self.deadlines, self.descriptors, self.seed, self.log)
+        fleet.pools = self.signalled
+        return fleet
+
+    def signalled(self) -> list[tuple[str, Router]]:
+        return [(pool.name, pool.router) for pool in self.desk if not pool.retired]
 
     async def start(self) -> None:
         await super().start()
@@ -228,6 +233,8 @@
         yard = Yard(self.deadlines, self.descriptors, node.dial_time, node.rest, log.debug)
         router = Router(node, self.deadlines, yard, self.figures, log)
         yard.sweep()
+        if self.fleet is not None and self.fleet.gossip is not None:
+            router.tells = partial(self.fleet.saw, name)
         return self.desk.add(name, router)
 
     def narrow(self, running: Pool, pool: types.Pool) -> None:
@@ -291,6 +298,9 @@
     def members(self) -> dict | None:
         return self.fleet.shown() if self.fleet is not None else None
 
+    def signals(self) -> dict | None:
+        return self.fleet.signals() if self.fleet is not None else None
+
     def stop(self) -> None:
         if self.fleet is not None:
             self.fleet.go()
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -183,6 +183,7 @@
         self.stop_at = 0  # when all that is still held is given up; 0: not stopping
         self.counts: dict[str, int] = {}
         self.access = False  # is every transaction logged?
+        self.tells: Callable | None = None  # told of each hop's end: upstream and outcome
         self.route_names: list[str] = []  # by profile, where an operator's routes are profiles
         self.seats: list[Seat] = []  # the last takes new transactions; the others end theirs
         self.seat(node)
@@ -418,6 +419,8 @@
     def hop_ended(self, hop: Hop, outcome: Outcome, took: int, answer: tuple | None) -> None:
         ticket = hop.ticket
         ticket.trail.append((hop.upstream.name, outcome.name, took // 1000))
+        if self.tells is not None:
+            self.tells(hop.upstream.name, outcome)
         if outcome is not Outcome.COMMITTED:
             self.log("hop", tx=ticket.trace.decode("latin-1"), order=hop.order, upstream=hop.upstream.name,
                      outcome=outcome.name, ms=took // 1000, why=hop.why)  # fmt: skip
--- a/dahliabend/rig/play.py
+++ b/dahliabend/rig/play.py
@@ -62,6 +62,9 @@
     # What is heard.
 
     def heard(self, instance: Instance, said: dict) -> None:
+        if said.get("event") == "believed":
+            self.outcome.counts["believed"] += 1
+            self.line(self.now, f"{instance.name}: {said['upstream']} is bad, {said['origins']} say")
         if said.get("event") != "member":
             return
         about = said["member"]
@@ -207,6 +210,8 @@
             self.set_ways()
         elif step.what == "strangers":
             self.strangers()
+        elif step.what == "bad":
+            self.make_bad(step, 0.9)
         starting = []
         for number in step.whom if step.what not in WAYS else ():
             instance = self.instances[number]
@@ -238,6 +243,8 @@
         if step in self.ways:
             self.ways.remove(step)
             self.set_ways()
+        if step.what == "bad":
+            self.make_bad(step, 0.0)
         starting = []
         for number in step.whom if step.what not in WAYS else ():
             instance = self.instances[number]
@@ -250,6 +257,15 @@
                 starting.append(number)
         await self.start(starting)
 
+    def make_bad(self, step: Step, failing: float) -> None:
+        for upstream in self.traffic.upstreams if self.traffic is not None else ():
+            if upstream.spec.cell in step.to:
+                upstream.failing = failing
+
+    async def believing(self) -> bool:
+        said = [await each.ask("/api/signals") for each in self.instances if each.alive and not each.stopped]
+        return all(said) and any(each["told"] for each in said)
+
     def set_ways(self) -> None:
         self.relay.cut = cuts = self.cuts()
         if cuts != self.truth.cut:
@@ -292,6 +308,8 @@
             await self.run(self.terms.period // LOOK)
 
     async def holds(self, step: Step) -> bool:
+        if step.until == "believed":
+            return await self.believing()
         asked = [each for each in self.instances if each.alive and not each.stopped and each.open.done()]
         shown = {}
         for at in range(0, len(asked), AT_ONCE):
--- a/dahliabend/rig/processes.py
+++ b/dahliabend/rig/processes.py
@@ -69,6 +69,7 @@
 key-files = ["key"]
 keep = "{self.name}.keep"
 period = "{fleet.period}"
+signals = {str(fleet.signals).lower()}
 {rest}''')
 
     async def start(self) -> None:
--- /dev/null
+++ b/dahliabend/signals/belief.py
@@ -0,0 +1,57 @@
+"""What others' reports of an upstream are worth here. Free of I/O.
+
+A report is an observation with a weight of its own, never a command. Of each origin so few hops count that
+one alone says little whatever it claims; several that agree, and are not outvoted, count as own evidence
+does. Own hops that were answered of late go before all of it: an upstream that is bad for some balancers only
+stays in for those that it serves.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from dahliabend.signals.board import Held
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    agree: int = 3  # origins that have to say so, whatever one says
+    part: float = 1 / 10  # of those that tell anything: where more balance, more have to
+    cap: int = 3  # hops of one origin that count
+    bad: float = 2 / 5  # of the hops counted: from there on it is believed
+    worth: int = 5  # own hops that such a belief counts for, once in a window
+    most: float = 1 / 3  # of a pool's upstreams: more than that are not believed bad at once
+
+
+@dataclass(frozen=True, slots=True)
+class Believed:
+    name: str
+    tried: int
+    bad: int
+    origins: int  # that say so
+
+
+def believed(
+    terms: Terms, pool: str, names: set[str], held: Mapping[str, Held], own: Mapping[str, tuple[int, int]]
+) -> list[Believed]:
+    """Of the upstreams in use in that pool, those that others find bad, the surest first. `own`: tried and
+    bad hops of this one; an upstream with more good than bad ones is left out."""
+    telling = sum(1 for each in held.values() if any(key[0] == pool for key in each.rows))
+    needed = max(terms.agree, round(telling * terms.part))
+    counts: dict[str, list[float]] = {}  # tried, bad, origins that say bad
+    for each in held.values():
+        for (of, name), (tried, bad) in each.rows.items():
+            if of != pool or name not in names:
+                continue
+            found = counts.setdefault(name, [0.0, 0.0, 0])
+            weight = min(tried, terms.cap)
+            found[0] += weight
+            found[1] += weight * bad / tried
+            found[2] += 2 * bad >= tried
+    made = []
+    for name, (tried, bad, origins) in counts.items():
+        mine = own.get(name, (0, 0))
+        if origins >= needed and bad >= terms.bad * tried and not 2 * mine[1] < mine[0]:
+            made.append(Believed(name, terms.worth, round(terms.worth * bad / tried), origins))
+    made.sort(key=lambda each: (-each.bad, -each.origins, each.name))
+    # So many at once are the tier's trouble, or a lie told by many: left to what each sees itself.
+    return made if len(made) <= terms.most * len(names) else []
--- /dev/null
+++ b/dahliabend/signals/gossip.py
@@ -0,0 +1,132 @@
+"""The machine of signals: reports out to some others at each beat, theirs merged, and what is believed.
+
+Feed it what ended, datagrams and the time; it leaves datagrams for members by name in `out`. Each beat its
+own report and the newest of others go to a few members drawn anew: bounded in bytes whatever the fleet's
+size. Told is what is bad, and what is well where another says that it is bad: in calm there is nothing to
+tell.
+"""
+
+from collections.abc import Callable, Iterable
+from random import Random
+
+import msgspec
+
+from dahliabend.model import Outcome
+from dahliabend.signals.belief import Believed, Terms, believed
+from dahliabend.signals.board import MOST_COUNT, MOST_ROWS, Board, Report, Row
+from dahliabend.signals.seen import Seen
+
+MS = 1_000
+BEAT = 500 * MS
+WINDOW = 3_000 * MS  # what a report tells of, and how long it counts
+FAN = 3  # members that a datagram goes to in each beat
+ROOM = 1_200  # bytes of a datagram for reports
+SPREAD = 2  # times that another's report is passed on from here
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(list[Report]).decode
+
+
+class Gossip:
+    def __init__(self, me: str, life: int, chance: Random, terms: Terms | None = None) -> None:
+        self.me, self.life, self.chance, self.terms = me, life, chance, terms or Terms()
+        self.seen: dict[str, Seen] = {}  # by pool
+        self.board = Board(me, WINDOW)
+        self.number = 0
+        self.out: list[tuple[str, bytes]] = []  # member and datagram
+        self.told: dict[tuple[str, str], int] = {}  # when a belief was last told to the decisions
+        self.unread = self.believed = 0
+        self.spoke = False  # did its last report say anything?
+
+    # What comes in.
+
+    def ended(self, now: int, pool: str, name: str, outcome: Outcome) -> None:
+        self.seen.setdefault(pool, Seen(WINDOW)).ended(now, name, outcome)
+
+    def received(self, now: int, data: bytes) -> None:
+        """From a member; anything may stand in it."""
+        try:
+            reports = _decode(data)
+        except (ValueError, RecursionError):  # msgspec's errors are ValueErrors
+            self.unread += 1
+            return
+        for report in reports[:MOST_ROWS]:
+            self.board.merge(now, report)
+
+    # What goes out.
+
+    def beat(self, now: int, members: Iterable[str]) -> None:
+        others = [name for name in members if name != self.me]
+        mine = self.report(now)
+        if not others:
+            return
+        self.board.fresh(now)
+        # The newest first: they have been passed on least, here and on their way.
+        ordered = sorted(
+            self.board.origins.values(), key=lambda held: (held.passed, held.report.hops, -held.since)
+        )
+        parts, room = [], ROOM
+        for held in [None, *ordered]:
+            if held is not None and held.passed >= SPREAD:
+                continue
+            report = mine if held is None else msgspec.structs.replace(
+                held.report, age=(now - held.since) // MS, hops=held.report.hops + 1
+            )  # fmt: skip
+            if not report.rows and held is not None:
+                continue
+            packed = _encode(report)
+            if len(packed) > room:
+                continue
+            room -= len(packed)
+            parts.append(msgspec.Raw(packed))
+            if held is not None:
+                held.passed += 1
+        if len(parts) == 1 and not mine.rows and not self.spoke:
+            return  # nothing to tell, and nothing to take back
+        self.spoke = bool(mine.rows)
+        data = _encode(parts)
+        for name in self.chance.sample(others, min(FAN, len(others))):
+            self.out.append((name, data))
+
+    def report(self, now: int) -> Report:
+        """As much as half a datagram holds."""
+        self.number += 1
+        kept, room = [], ROOM // 2
+        for row in self.rows(now)[:MOST_ROWS]:
+            room -= len(_encode(row))
+            if room < 0:
+                break
+            kept.append(row)
+        return Report(self.me, self.life, self.number, 0, 0, kept)
+
+    def rows(self, now: int) -> list[Row]:
+        """What there is to tell, the most surprising first: what fails, then what there is most of."""
+        doubted = {key for held in self.board.origins.values() for key, (_, bad) in held.rows.items() if bad}
+        rows = [
+            Row(pool, name, min(tried, MOST_COUNT), min(bad, MOST_COUNT))
+            for pool, seen in self.seen.items()
+            for name, (tried, bad) in seen.rows(now).items()
+            if bad or (pool, name) in doubted
+        ]
+        rows.sort(key=lambda row: (-row.bad, -row.tried, row.name))
+        return rows
+
+    # What it is worth.
+
+    def tell(
+        self, now: int, pool: str, names: set[str], members: set[str], told: Callable[[str, int, int], None]
+    ) -> list[Believed]:
+        """Has the decisions of a pool told what is believed of the upstreams that they use, each once in a
+        window. Gives what it told."""
+        own = self.seen[pool].rows(now) if pool in self.seen else {}
+        made = []
+        for each in believed(self.terms, pool, names, self.board.fresh(now, members - {self.me}), own):
+            key = pool, each.name
+            if now - self.told.get(key, -WINDOW) >= WINDOW:
+                self.told[key] = now
+                told(each.name, each.tried, each.bad)
+                made.append(each)
+        self.believed += len(made)
+        for key in [key for key, at in self.told.items() if now - at >= WINDOW]:
+            del self.told[key]
+        return made
--- a/tests/rig/test_rig.py
+++ b/tests/rig/test_rig.py
@@ -35,3 +35,9 @@
     # by chance: 24 counts of some 100.
     mean = sum(served.values()) / 24
     assert max(served.values()) <= 1.15 * mean + 4 * mean**0.5
+
+
+def test_what_several_say_of_an_upstream_is_believed_between_real_processes():
+    rig = Rig(script.read(str(SCRIPT.parent / "signals.toml")), traffic=120, upstreams=24)
+    assert asyncio.run(rig.play()).violations == []
+    assert rig.outcome.counts["believed"] >= 1 and rig.outcome.counts["tx 200"] > 300
