Probing by turns between balancers: one probes for all, taken over within two periods

Change: [members] probing (with signals): each upstream of a pool without subset is probed once in it by one balancer; results go with the signals, and the decisions' wishes for a probe are answered by them; after two periods without one each probes itself, and one instance's word that an upstream is gone holds once. GET /api/turns, dahliabend turns, event duty; the rig checks it by the upstreams' own logs (tests/rig/scripts/turns.toml).

Cause of the first failure between real processes (4 instances, one killed): no upstream probed for 17 s. Trace: fencing numbers rose to 151, counts stayed 0: the work stood still while a suspicion was open, then all turns were overdue at once, and two claimed in turn, each outdoing the other before it had heard. Now another's claim holds for half a period, and the last settled view is gone by once this one has heard anybody since it began or paused. Test on the model, which fails without it.

--- a/dahliabend/cli/commands.py
+++ b/dahliabend/cli/commands.py
@@ -14,6 +14,7 @@
     "rig": "dahliabend.cli.rig:rig",
     "subset": "dahliabend.cli.subset:subset",
     "signals": "dahliabend.cli.signals:signals",
+    "turns": "dahliabend.cli.turns:turns",
 }
 HELP = {
     "emulate": "The network code on a virtual clock, against faults from seeds or files.",
@@ -24,6 +25,7 @@
     "members": "Who else balances: alive, suspected, gone, by whom and since when.",
     "rig": "Real processes of the program on loopback, with faults between them.",
     "signals": "What balancers tell each other of upstreams, and what is believed.",
+    "turns": "What balancers do in turn: who does it, under which number, when last.",
     "subset": "Who of many balancers uses which upstreams, and what an event moves.",
 }
 
--- a/dahliabend/emulator/fleets/script.py
+++ b/dahliabend/emulator/fleets/script.py
@@ -53,6 +53,7 @@
     delay: Span = Span(MS)  # of a datagram, in the mean
     subset: int = 0  # between processes: the least, and the degree, of the pool's subsets; 0: none
     signals: bool = False  # between processes: they tell each other of upstreams
+    probing: Span = Span(0)  # and probe each once in it, by turns
     steps: list[Step] = []
     why: str = ""
 
--- a/dahliabend/emulator/peers/upstream.py
+++ b/dahliabend/emulator/peers/upstream.py
@@ -229,6 +229,7 @@
         self.rest.cancel()
         upstream = self.upstream
         if target.startswith(b"/-/"):
+            upstream.witness("probed", upstream.spec.name)
             if upstream.hung:
                 return
             well = not (upstream.draining or upstream.failing > 0.5)
--- a/dahliabend/net/program/events.py
+++ b/dahliabend/net/program/events.py
@@ -29,6 +29,11 @@
     "committed": Event("debug", "never by itself: see access", ENDED),
     "cut": Event("warning", "an answer that had begun could not be finished", ENDED),
     "demand": Event("info", "this balancer tells the others how much it is asked", ("weight",)),
+    "duty": Event(
+        "info",
+        "this balancer does from now on what one does for all; `place` 0: it is the first in the order",
+        ("duty", "fence", "place"),
+    ),
     "ended": Event("info", "the process ends in order", ("counts",)),
     "error": Event("error", "a fault of the program itself: report it", ("what", "why")),
     "excluded": Event("info", "an operator took an upstream out", ("upstream",)),
--- a/dahliabend/net/program/fleet.py
+++ b/dahliabend/net/program/fleet.py
@@ -83,6 +83,12 @@
         self.gossip = Gossip(self.name, computer.wall(), self.chance) if settings.signals else None
         self.pools: Callable[[], list[tuple]] = list  # names, and the routers whose decisions are told
         self.believed: list[dict] = []  # the last that were told them
+        self.probing = None
+        if settings.probing:
+            from dahliabend.net.program.probing import Probing
+
+            self.probing = Probing(self.name, settings.probing, log)
+            self.gossip.turns, self.gossip.heard = self.probing.duties.tell, self.probing.heard
         self.shell = Shell(self.machine, self.seal_of(settings), deadlines, self.heard)
         self.shell.listens = self.listen if self.gossip is not None else None
         self.beating: list | None = None
@@ -136,6 +142,12 @@
                 told_now = {"pool": pool, "upstream": each.name, "at": now, "origins": each.origins}
                 self.believed = [*self.believed[1 - LAST :], told_now]
                 self.log("believed", pool=pool, upstream=each.name, origins=each.origins)
+        if self.probing is not None:
+            settled = self.settled()
+            rows = [(m.name, m.zone) for m in settled.members if m.state != "unreached"] if settled else ()
+            shared = [(pool, router) for pool, router in self.pools() if router.shares is not None]
+            heard = now >= self.machine.asking and self.machine.outcast != "dead"
+            self.probing.beat(rows, bool(rows) and heard, shared)
         gossip.beat(now, sorted(members))
         out, gossip.out = gossip.out, []
         for name, data in out:
--- a/dahliabend/net/program/operations.py
+++ b/dahliabend/net/program/operations.py
@@ -28,6 +28,7 @@
             b"/api/members": (b"GET", self.members),
             b"/api/subsets": (b"GET", self.subsets),
             b"/api/signals": (b"GET", self.signals),
+            b"/api/turns": (b"GET", self.turns),
         }
 
     def __call__(self, method: bytes, path: bytes, body: bytes) -> Answer:
@@ -62,6 +63,10 @@
         shown = self.program.signals()
         return said(404, error="[members] has no signals") if shown is None else said(200, **shown)
 
+    def turns(self, _: bytes) -> Answer:
+        shown = self.program.turns()
+        return said(404, error="[members] has no probing") if shown is None else said(200, **shown)
+
     def exclude(self, body: bytes, out: bool = True) -> Answer:
         try:
             target = orjson.loads(body)["target"]
--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -174,6 +174,10 @@
         """What balancers tell each other of upstreams, where they do."""
         return None
 
+    def turns(self) -> dict | None:
+        """What balancers do in turn, where they do."""
+        return None
+
     def exclude(self, name: str, out: bool) -> bool:
         known = self.router.exclude(name, out)
         if known and self.handover is not None:
--- a/dahliabend/net/program/service.py
+++ b/dahliabend/net/program/service.py
@@ -235,6 +235,8 @@
         yard.sweep()
         if self.fleet is not None and self.fleet.gossip is not None:
             router.tells = partial(self.fleet.saw, name)
+            if self.fleet.probing is not None:
+                router.shares = partial(self.fleet.probing.want, name)
         return self.desk.add(name, router)
 
     def narrow(self, running: Pool, pool: types.Pool) -> None:
@@ -247,6 +249,7 @@
             running.narrowed.stop()
         running.narrowed = None
         if pool.subset is not None:
+            running.router.shares = None  # who is first in a duty's order may not use that upstream
             from dahliabend.net.program.narrowed import Narrowed
 
             running.narrowed = Narrowed(
@@ -301,6 +304,10 @@
     def signals(self) -> dict | None:
         return self.fleet.signals() if self.fleet is not None else None
 
+    def turns(self) -> dict | None:
+        shared = self.fleet.probing if self.fleet is not None else None
+        return shared.shown() if shared is not None else None
+
     def stop(self) -> None:
         if self.fleet is not None:
             self.fleet.go()
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -152,7 +152,12 @@
         self.balancer.listed(clock(), rows, full)
 
     def probe(self, upstream: int) -> None:
-        Probe(self.router.yard.upstreams[upstream], self.report_fields, self.probe_time, self.probed).start()
+        known = self.router.yard.upstreams[upstream]
+        if self.router.shares is None or not self.router.shares(known, self):
+            self.sound(known, self.probed)
+
+    def sound(self, upstream: Upstream, told: Callable) -> None:
+        Probe(upstream, self.report_fields, self.probe_time, told).start()
 
     def probed(self, upstream: int, outcome: Outcome) -> None:
         self.balancer.probed(clock(), upstream, outcome)
@@ -184,6 +189,7 @@
         self.counts: dict[str, int] = {}
         self.access = False  # is every transaction logged?
         self.tells: Callable | None = None  # told of each hop's end: upstream and outcome
+        self.shares: Callable | None = None  # asked whether another probes an upstream, and tells
         self.route_names: list[str] = []  # by profile, where an operator's routes are profiles
         self.seats: list[Seat] = []  # the last takes new transactions; the others end theirs
         self.seat(node)
--- a/dahliabend/rig/play.py
+++ b/dahliabend/rig/play.py
@@ -30,6 +30,7 @@
 )  # microseconds: how often the rig looks at its own clock, and what counts as late
 FAR = 4  # a condition's bound is so many times what the terms allow: far off, not to be reached by luck
 AT_ONCE = 6  # doors asked at once
+BUSY = 0.5  # seconds that a busy machine may add between an instance's look and an upstream's log
 EVEN = 21 / 20  # of the mean: the most that an upstream may be used where subsets add up
 RECENT = 64  # datagrams kept to be sent again by strangers
 
@@ -53,6 +54,7 @@
         self.watching: asyncio.Task | None = None
         self.zero = 0.0
         self.upstreams: list[str] = []
+        self.agreed: float | None = None  # when all had one view for the first time
         self.shown: dict[str, dict] = {}  # the subset of each, as it was last asked
 
     @property
@@ -107,11 +109,14 @@
                 await self.start([n for n in range(self.fleet.instances) if n not in self.fleet.late])
                 if self.traffic is not None:
                     self.traffic.begin(self.may_ask)
+                if self.fleet.probing and self.traffic is not None:
+                    await self.traffic.settle()  # else the decisions ask for probes of their own
                 for step in self.fleet.steps:
                     await self.act(step)
                     await self.run(step.wait)
                     await self.until(step)
                 end = self.now
+                self.check_probes()
                 if self.traffic is not None:
                     await self.traffic.end()
             finally:
@@ -127,6 +132,24 @@
                 self.outcome.broken("rule", end, what)
         return self.outcome
 
+    def check_probes(self) -> None:
+        """By the upstreams' own logs: about once a period, never more than twice, no gap over two, from two
+        periods after the first view in which all agreed."""
+        period = self.fleet.probing / S
+        if not period or self.agreed is None:
+            return
+        begin, end = self.agreed + 2 * period, asyncio.get_running_loop().time()
+        for name in self.upstreams:
+            times = [at for at in self.traffic.probed.get(name, ()) if at >= begin]
+            gaps = [b - a for a, b in zip([begin, *times], [*times, end], strict=True)]
+            if max(gaps) > 2 * period + BUSY:
+                self.outcome.broken("probes", self.now, f"{name}: none for {max(gaps):.1f} s")
+            most = max((sum(at <= t < at + period - BUSY for t in times) for at in times), default=0)
+            if most > 2:
+                self.outcome.broken("probes", self.now, f"{name}: {most} in {period:g} s")
+            self.outcome.counts["probes"] += len(times)
+        self.outcome.counts["probe periods"] = round(len(self.upstreams) * (end - begin) / period)
+
     async def even(self) -> bool:
         """Does what all use add up? While upstreams come and go it does not: their troubles end before."""
         self.shown = {}
@@ -306,6 +329,8 @@
             if self.now >= limit:
                 return self.outcome.broken(step.until, self.now, f"not within {FAR} times its bound")
             await self.run(self.terms.period // LOOK)
+        if step.until == "agree" and self.agreed is None:
+            self.agreed = asyncio.get_running_loop().time()
 
     async def holds(self, step: Step) -> bool:
         if step.until == "believed":
--- a/dahliabend/rig/processes.py
+++ b/dahliabend/rig/processes.py
@@ -70,6 +70,7 @@
 keep = "{self.name}.keep"
 period = "{fleet.period}"
 signals = {str(fleet.signals).lower()}
+probing = "{fleet.probing}"
 {rest}''')
 
     async def start(self) -> None:
--- a/dahliabend/rig/traffic.py
+++ b/dahliabend/rig/traffic.py
@@ -57,6 +57,7 @@
         self.list_at = ("127.0.0.1", ports[upstreams])
         self.asked: dict[str, tuple[float, str, int]] = {}
         self.served: Counter[str] = Counter()  # by upstream
+        self.probed: dict[str, list[float]] = {}  # and when
         self.answers: Counter[str] = Counter()
         self.effects: Counter[str] = Counter()
         self.made: dict[str, set[bytes]] = {}
@@ -207,5 +208,7 @@
             self.draining.setdefault(values[1], now)
         elif kind == "told" and values[2] == "up":
             self.draining.pop(values[1], None)
+        elif kind == "probed":
+            self.probed.setdefault(values[0], []).append(now)
         elif kind in ("extra", "spoilt"):
             self.broken.append(f"one answer: {kind} {values}"[:200])
--- a/dahliabend/routes/checks.py
+++ b/dahliabend/routes/checks.py
@@ -15,6 +15,7 @@
 METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE", "HEAD", "OPTIONS")
 MOST_ATTEMPTS = 64
 LONGEST, LEAST_KEY, MOST_WEIGHT = 64, 32, 1e6  # bytes of a name, of a key
+LEAST_PROBING = Span(4_000_000)  # eight beats of signals: what was found has to come round
 LEAST_PERIOD, MOST_PERIOD = Span(20_000), Span(60_000_000)
 FIELDS = ("hop_time", "total_time", "attempts", "replays", "second_copy_after", "retry_share", "concurrency",
           "rate", "burst")  # fmt: skip
@@ -94,6 +95,13 @@
         source.fault((*key, "weight"), f"{members.weight:g} is not between 0 and {MOST_WEIGHT:g}")
     if not LEAST_PERIOD <= members.period <= MOST_PERIOD:
         source.fault((*key, "period"), f"{members.period} is not between {LEAST_PERIOD} and {MOST_PERIOD}")
+    if members.probing:
+        if not members.signals:
+            source.fault((*key, "probing"), "wants signals = true: by these the others hear what came of it")
+        if not LEAST_PROBING <= members.probing <= MOST_PERIOD:
+            source.fault(
+                (*key, "probing"), f"{members.probing} is not between {LEAST_PROBING} and {MOST_PERIOD}"
+            )
     if members.forget < 100 * members.period:
         source.fault((*key, "forget"), f"{members.forget} is less than a hundred periods")
     if not 0 < members.cut < 1:
--- a/dahliabend/settings/types.py
+++ b/dahliabend/settings/types.py
@@ -119,6 +119,7 @@
     weight: float = 1.0
     demand: bool = False  # its weight is what it is asked, transactions a second, told as it changes
     signals: bool = False  # tells the others which upstreams fail, and hears it from them
+    probing: Span = Span(0)  # each upstream is probed once in it, by one of them; 0: each for itself
     seeds: list[str] = []
     seeds_file: str | None = None  # in discovery's form, watched
     seeds_discovery: str | None = None
--- a/dahliabend/signals/board.py
+++ b/dahliabend/signals/board.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from dahliabend.turns.duties import Done
+
 MOST_ROWS = 64  # upstreams of one report
 MOST_COUNT = 1_000  # hops that a row may tell of
 
@@ -29,13 +31,15 @@
     age: int
     hops: int
     rows: list[Row]
+    turns: list[Done] = []
 
     @property
     def sound(self) -> bool:
         return (
             0 < len(self.origin) <= 64
             and min(self.life, self.number, self.age, self.hops) >= 0
-            and len(self.rows) <= MOST_ROWS
+            and max(len(self.rows), len(self.turns)) <= MOST_ROWS
+            and all(done.sound and done.owner == self.origin for done in self.turns)
             and all(0 < row.tried <= MOST_COUNT and 0 <= row.bad <= row.tried and len(row.name) <= 64
                     and len(row.pool) <= 64 for row in self.rows)
         )  # fmt: skip
--- a/dahliabend/signals/gossip.py
+++ b/dahliabend/signals/gossip.py
@@ -15,6 +15,7 @@
 from dahliabend.signals.belief import Believed, Terms, believed
 from dahliabend.signals.board import MOST_COUNT, MOST_ROWS, Board, Report, Row
 from dahliabend.signals.seen import Seen
+from dahliabend.turns.duties import Done
 
 MS = 1_000
 BEAT = 500 * MS
@@ -37,6 +38,8 @@
         self.told: dict[tuple[str, str], int] = {}  # when a belief was last told to the decisions
         self.unread = self.believed = 0
         self.spoke = False  # did its last report say anything?
+        self.turns: Callable[[int], list[Done]] | None = None  # what it does in turn with others, to be told
+        self.heard: Callable[[int, Done], None] | None = None  # and who is told of theirs
 
     # What comes in.
 
@@ -51,7 +54,9 @@
             self.unread += 1
             return
         for report in reports[:MOST_ROWS]:
-            self.board.merge(now, report)
+            if self.board.merge(now, report) and self.heard is not None:
+                for done in report.turns:
+                    self.heard(now, msgspec.structs.replace(done, age=done.age + report.age))
 
     # What goes out.
 
@@ -72,7 +77,7 @@
             report = mine if held is None else msgspec.structs.replace(
                 held.report, age=(now - held.since) // MS, hops=held.report.hops + 1
             )  # fmt: skip
-            if not report.rows and held is not None:
+            if not report.rows and not report.turns and held is not None:
                 continue
             packed = _encode(report)
             if len(packed) > room:
@@ -81,7 +86,7 @@
             parts.append(msgspec.Raw(packed))
             if held is not None:
                 held.passed += 1
-        if len(parts) == 1 and not mine.rows and not self.spoke:
+        if len(parts) == 1 and not mine.rows and not mine.turns and not self.spoke:
             return  # nothing to tell, and nothing to take back
         self.spoke = bool(mine.rows)
         data = _encode(parts)
@@ -97,7 +102,13 @@
             if room < 0:
                 break
             kept.append(row)
-        return Report(self.me, self.life, self.number, 0, 0, kept)
+        turns, room = [], ROOM // 2
+        for done in self.turns(now)[:MOST_ROWS] if self.turns is not None else ():
+            room -= len(_encode(done))
+            if room < 0:
+                break
+            turns.append(done)
+        return Report(self.me, self.life, self.number, 0, 0, kept, turns)
 
     def rows(self, now: int) -> list[Row]:
         """What there is to tell, the most surprising first: what fails, then what there is most of."""
--- a/dahliabend/turns/duties.py
+++ b/dahliabend/turns/duties.py
@@ -17,6 +17,9 @@
 # one's claim what was done has to come round, else the claim would outdo it.
 TURN = (1.0, 1.5, 1.9, 2.3)
 CLAIM = 1 / 5  # of a period: how long before its turn one that does not hold the lease claims it
+# Another's claim is not outdone for so long, of a period: where all are overdue at once, two would outdo each
+# other for ever, and nobody would do it.
+HOLDS = 1 / 2
 LATE = 1 / 4  # of a period: a waking later than that is a pause
 MOST = 4_096  # duties known at the most
 MS = 1_000
@@ -77,7 +80,8 @@
     # What is told.
 
     def follow(self, now: int, members: Iterable[tuple[str, str]], settled: bool) -> None:
-        """The settled view, pairs of name and zone, and whether it is to be gone by now."""
+        """The last settled view, pairs of name and zone, and whether it may be gone by now: not before this
+        one has heard anybody since it began or paused."""
         told = tuple(sorted(members))
         if told != self.members:
             self.members = told
@@ -138,7 +142,8 @@
                 continue
             turn = known.at + round(TURN[min(place, len(TURN) - 1)] * self.period)
             if known.owner != self.me:
-                if now >= turn - CLAIM * self.period:
+                claimed = known.owner and not known.count and now - known.told < HOLDS * self.period
+                if now >= turn - CLAIM * self.period and not claimed:
                     known.fence, known.owner, known.count, known.told = known.fence + 1, self.me, 0, now
                 continue  # not before the claim has been out for a while
             if now >= turn and now - known.told >= CLAIM * self.period / 2 or known.count and now >= turn:
--- a/tests/rig/test_rig.py
+++ b/tests/rig/test_rig.py
@@ -41,3 +41,10 @@
     rig = Rig(script.read(str(SCRIPT.parent / "signals.toml")), traffic=120, upstreams=24)
     assert asyncio.run(rig.play()).violations == []
     assert rig.outcome.counts["believed"] >= 1 and rig.outcome.counts["tx 200"] > 300
+
+
+def test_each_upstream_is_probed_about_once_a_period_whoever_is_away():
+    rig = Rig(script.read(str(SCRIPT.parent / "turns.toml")), traffic=10, upstreams=8)
+    assert asyncio.run(rig.play()).violations == []
+    counts = rig.outcome.counts
+    assert 0.5 * counts["probe periods"] <= counts["probes"] <= 1.5 * counts["probe periods"]
--- a/tests/turns/test_duties.py
+++ b/tests/turns/test_duties.py
@@ -200,3 +200,20 @@
 def test_own_zone_comes_first():
     members = [(f"b{n}", "ab"[n % 2]) for n in range(8)]
     assert all(dict(members)[order(f"d{n}", members, "b")[0]] == "b" for n in range(20))
+
+
+def test_all_overdue_at_once_do_not_outdo_each_other_for_ever():
+    """Two that claim in turn, each before it has heard of the other, would never do it."""
+    town = Town(4).run(20 * S)
+    town.views = {name: [] for name in town.names}  # nobody knows anybody: all stop
+    town.run(30 * S)
+    begin = town.now
+    town.views = {name: list(town.names) for name in town.names}
+    town.run(30 * S)
+    for duty in DUTIES:
+        times = town.times(duty, begin)
+        assert (
+            times[0] - begin <= PERIOD
+            and max(b - a for a, b in zip(times, [*times[1:], town.now], strict=True)) <= 2 * PERIOD
+        )
+    assert max(known.fence for known in town.machines["b0"].known.values()) < 20
