--- a/tests/turns/test_duties.py
+++ b/tests/turns/test_duties.py
@@ -24,7 +24,7 @@
         self.mail: list[tuple[int, str, list[Done]]] = []
         self.away: set[str] = set()  # stopped
         self.cut: set[tuple[str, str]] = set()
-        self.loss = 0.0
+        self.loss, self.way = 0.0, 2 * TICK
         self.done: list[tuple[int, str, str, int]] = []  # at, who, duty, fence
 
     def begin(self, name: str) -> Duties:
@@ -36,16 +36,6 @@
         end = self.now + span
         while self.now < end:
             self.now += TICK
-            for name, machine in self.machines.items():
-                if name in self.away:
-                    continue
-                machine.follow(self.now, [(other, "") for other in self.views[name]], True)
-                for turn in machine.wake(self.now):
-                    self.done.append((self.now, name, turn.duty, turn.fence))
-                    machine.worked(self.now, turn, 1)
-                for other in self.machines:
-                    if (name, other) not in self.cut and self.chance.random() >= self.loss:
-                        self.mail.append((self.now + 2 * TICK, other, machine.tell(self.now)))
             due, self.mail = (
                 [m for m in self.mail if m[0] <= self.now],
                 [m for m in self.mail if m[0] > self.now],
@@ -56,9 +46,19 @@
                 elif name in self.machines:
                     for each in said:
                         aged = Done(
-                            each.duty, each.fence, each.owner, each.count, each.age + 2 * TICK // MS, 1
+                            each.duty, each.fence, each.owner, each.count, each.age + self.way // MS, 1
                         )
                         self.machines[name].heard(self.now, aged)
+            for name, machine in self.machines.items():
+                if name in self.away:
+                    continue
+                machine.follow(self.now, [(other, "") for other in self.views[name]], True)
+                for turn in machine.wake(self.now):
+                    self.done.append((self.now, name, turn.duty, turn.fence))
+                    machine.worked(self.now, turn, 1)
+                for other in self.machines:
+                    if (name, other) not in self.cut and self.chance.random() >= self.loss:
+                        self.mail.append((self.now + self.way, other, machine.tell(self.now)))
         return self
 
     def times(self, duty: str, since: int = 0) -> list[int]:
@@ -205,6 +205,7 @@
 def test_all_overdue_at_once_do_not_outdo_each_other_for_ever():
     """Two that claim in turn, each before it has heard of the other, would never do it."""
     town = Town(4).run(20 * S)
+    town.way = TICK
     town.views = {name: [] for name in town.names}  # nobody knows anybody: all stop
     town.run(30 * S)
     begin = town.now
