Shared probing free of I/O, on sockets and on the model; measured beside signals alone

Need: whether turns take back the probes that signals cost was not shown; the decisions about it stood beside the sockets.

Change: turns/shared.py holds them, net/program/probing.py and the model drive it; experiments/signals.py has a way with it.

--- a/dahliabend/emulator/fleets/work.py
+++ b/dahliabend/emulator/fleets/work.py
@@ -24,6 +24,7 @@
 from dahliabend.subsets.choice import Party
 from dahliabend.subsets.demand import UNTOLD, Demand
 from dahliabend.subsets.keeper import Keeper, Terms, answering
+from dahliabend.turns.shared import Shared
 
 MS = 1_000
 LOOK = 250 * MS  # how often a subset is looked at, as in a pool
@@ -89,6 +90,10 @@
             self.gossip = Liar(work, number, life, chance) if number in work.liars else Gossip(
                 f"b{number}", life, chance
             )  # fmt: skip
+        self.shared: Shared | None = None
+        if work.probing:
+            self.shared = Shared(f"b{number}", work.probing, self.look_at, lambda *_, **__: None)
+            self.gossip.turns, self.gossip.heard = self.shared.duties.tell, self.shared.heard
         if work.subset is not None:
             self.keeper = Keeper(work.party(number), work.subset)
 
@@ -176,11 +181,29 @@
             self.work.at(self.work.now, self.ended, ref, hop, Outcome.CANCELLED)
 
     def probe(self, upstream: int) -> None:
+        name, shared = self.work.nodes[upstream].name, self.shared
+
+        def told(_: int, outcome: Outcome) -> None:
+            self.probed(upstream, outcome)
+
+        if shared is None or not shared.want(self.work.now, name, told):
+            self.sound(upstream, told)
+
+    def look_at(self, duty: str, told: Callable) -> None:
+        node = self.work.places.get(duty)
+        if node is not None:
+            self.sound(node.index, told)
+
+    def sound(self, upstream: int, told: Callable) -> None:
         work, node = self.work, self.work.nodes[upstream]
         work.counts["probes"] += 1
         silent = node.hung or node.gone or self.number in node.deaf_to
         outcome = Outcome.TIMED_OUT if silent else Outcome.ERROR if node.failing > 0.5 else Outcome.COMMITTED
-        work.at(work.now + (2 * DIAL if silent else 2 * WAY), self.probed, upstream, outcome)
+        work.at(work.now + (2 * DIAL if silent else 2 * WAY), self.sounded, told, outcome)
+
+    def sounded(self, told: Callable, outcome: Outcome) -> None:
+        if self.alive:
+            told(self.work.now, outcome)
 
     def probed(self, upstream: int, outcome: Outcome) -> None:
         if self.alive:
@@ -252,6 +275,11 @@
             self.balancer.told(indices[name], tried, bad)
 
         gossip.tell(work.now, POOL, set(indices), members, told)
+        if self.shared is not None:
+            settled = machine.settled(work.now)
+            rows = [(m.name, m.zone) for m in settled.members if m.state != "unreached"] if settled else ()
+            duties = {name: "" for name, row in self.rows.items() if row[1] is State.READY}
+            self.shared.beat(work.now, rows, bool(rows) and work.now >= machine.asking, duties)
         gossip.beat(work.now, sorted(members))
         out, gossip.out = gossip.out, []
         for name, data in out:
@@ -313,7 +341,7 @@
     def __init__(
         self, fleet: Fleet, upstreams: int = 60, rate: float = 330.0, subset: Terms | None = None,
         kind: Kind | None = None, members: MemberTerms | None = None, zones: int = 1, demand: bool = False,
-        signals: bool = False, liars: dict[int, str] | None = None,
+        signals: bool = False, liars: dict[int, str] | None = None, probing: int = 0,
     ) -> None:  # fmt: skip
         """`signals`: balancers tell each other of upstreams, `liars` of them what is not so. `demand`: they
         tell the others how much they are asked. `heavy` of the balancers' callers go
@@ -321,7 +349,7 @@
         super().__init__(fleet, members)
         self.kind, self.rate, self.subset = kind or Kind(), rate, subset
         self.demand, self.heavy = demand, 0.0
-        self.signals, self.liars = signals, liars or {}
+        self.signals, self.liars, self.probing = signals, liars or {}, probing
         self.zone_names = [f"z{n}" for n in range(zones)]
         self.figures, self.clock = Figures(), S
         self.counts = self.figures.counts
--- a/dahliabend/net/program/fleet.py
+++ b/dahliabend/net/program/fleet.py
@@ -88,7 +88,8 @@
             from dahliabend.net.program.probing import Probing
 
             self.probing = Probing(self.name, settings.probing, log)
-            self.gossip.turns, self.gossip.heard = self.probing.duties.tell, self.probing.heard
+            shared = self.probing.shared
+            self.gossip.turns, self.gossip.heard = shared.duties.tell, shared.heard
         self.shell = Shell(self.machine, self.seal_of(settings), deadlines, self.heard)
         self.shell.listens = self.listen if self.gossip is not None else None
         self.beating: list | None = None
--- a/experiments/signals.py
+++ b/experiments/signals.py
@@ -34,15 +34,15 @@
 
 
 SCENARIOS = {"calm": plays.calm, "bad": plays.bad, "half": plays.half, "zone": plays.zone, "join": plays.join, "herd": plays.herd, "split": plays.split, "cut": cut}
-WAYS = {"none": (False, {}), "signals": (True, {}), "1 liar, dead": (True, {1: "dead"}), "2 liars, dead": (True, {1: "dead", 2: "dead"}),
-        "2 liars, well and old": (True, {1: "well", 2: "old"})}  # fmt: skip
+WAYS = {"none": (False, {}, 0), "signals": (True, {}, 0), "signals, probing in 4 s": (True, {}, 4 * S), "1 liar, dead": (True, {1: "dead"}, 0),
+        "2 liars, dead": (True, {1: "dead", 2: "dead"}, 0), "2 liars, well and old": (True, {1: "well", 2: "old"}, 0)}  # fmt: skip
 
 
 def play(task) -> dict:
     scenario, subsets, way, seed = task
-    signals, liars = WAYS[way]
+    signals, liars, probing = WAYS[way]
     terms = plays.WAYS["subsets"][0] if subsets else None
-    made = Work(Fleet(seed=seed, instances=MANY, delay=Span(2_000)), POOL, RATE, terms, zones=ZONES, signals=signals, liars=liars)
+    made = Work(Fleet(seed=seed, instances=MANY, delay=Span(2_000)), POOL, RATE, terms, zones=ZONES, signals=signals, liars=liars, probing=probing)
     made.begin()
     made.run(BEFORE * S)
     made.forget()
