--- a/dahliabend/net/program/probing.py
+++ b/dahliabend/net/program/probing.py
@@ -20,10 +20,8 @@
 
     def want(self, pool: str, upstream: Upstream, seat: Seat) -> bool:
         """The decisions want one probed. False: it is theirs to do."""
-        index = upstream.index
-        return self.shared.want(
-            clock(), named(pool, upstream), lambda _, outcome: seat.probed(index, outcome)
-        )
+        index, duty = upstream.index, named(pool, upstream)
+        return self.shared.want(clock(), duty, lambda _, outcome: seat.probed(index, outcome))
 
     def beat(
         self, members: Iterable[tuple[str, str]], settled: bool, pools: list[tuple[str, Router]]
--- a/dahliabend/turns/shared.py
+++ b/dahliabend/turns/shared.py
@@ -1,7 +1,7 @@
 """Probing shared by turns: one instance probes an upstream, the others' decisions are told what came of it.
 
-Free of I/O: `probe(duty, told)` has a duty's upstream probed, and `told(now, outcome)` called with what came of
-it, later. Duties are named by whoever drives this.
+Free of I/O: `probe(duty, told)` has a duty's upstream probed, and `told(now, outcome)` called with what came
+of it, later. Duties are named by whoever drives this.
 """
 
 from collections.abc import Callable, Iterable, Mapping
--- a/tests/turns/test_shared.py
+++ b/tests/turns/test_shared.py
@@ -1,4 +1,4 @@
-"""Shared probing: wishes are answered by the next result, by whomever; nobody's word keeps one out for long."""
+"""Shared probing: wishes are answered by the next result; nobody's word keeps an upstream out for long."""
 
 from dahliabend.model import Outcome
 from dahliabend.turns.duties import Done
