Limits of the whole fleet at work: routes that share theirs, divided with the signals

Change: [[routes]] shared = true (with signals): each balancer lets in its part of rate and concurrency, stepped with the signals; GET /api/signals shows it, event share; the rig checks the limit by the upstreams' own logs (tests/rig/scripts/limits.toml). A part's bucket holds three where the whole's does.

A test of parts that hung on the order of a set: sums of parts differed in their last digit and with them who grows; names are sorted now, the same with every hash seed.

--- a/dahliabend/emulator/fleets/script.py
+++ b/dahliabend/emulator/fleets/script.py
@@ -54,6 +54,7 @@
     subset: int = 0  # between processes: the least, and the degree, of the pool's subsets; 0: none
     signals: bool = False  # between processes: they tell each other of upstreams
     probing: Span = Span(0)  # and probe each once in it, by turns
+    limit: int = 0  # between processes: submits a second, of the whole fleet; 0: no limit
     steps: list[Step] = []
     why: str = ""
 
--- a/dahliabend/net/program/events.py
+++ b/dahliabend/net/program/events.py
@@ -99,6 +99,9 @@
     "reload.refused": Event("error", "a file was turned down; nothing has changed", ("why", "faults")),
     "reloaded": Event("info", "a file was taken over", ("discovery", "debug", "changes", "passed_over")),
     "rolled_back": Event("info", "a transaction was answered with trying again is harmless", ENDED),
+    "share": Event(
+        "info", "this balancer's part of a shared limit, by what it is asked", ("route", "part", "asked")
+    ),
     "stopping": Event("info", "SIGTERM came", ("held",)),
     "subset": Event(
         "info",
--- a/dahliabend/net/program/fleet.py
+++ b/dahliabend/net/program/fleet.py
@@ -14,7 +14,7 @@
 from dahliabend.members.seal import Seal, key
 from dahliabend.members.shell import Shell
 from dahliabend.members.view import View
-from dahliabend.members.wire import Rumour
+from dahliabend.members.wire import Rumour, Standing
 from dahliabend.model import State
 from dahliabend.net.program.lists import ListFile
 from dahliabend.net.protocol.discovery import Book, Discovery
@@ -83,6 +83,7 @@
         self.gossip = Gossip(self.name, computer.wall(), self.chance) if settings.signals else None
         self.pools: Callable[[], list[tuple]] = list  # names, and the routers whose decisions are told
         self.believed: list[dict] = []  # the last that were told them
+        self.shares = None  # of limits, where a route is shared
         self.probing = None
         if settings.probing:
             from dahliabend.net.program.probing import Probing
@@ -124,6 +125,15 @@
         for data in said:
             self.gossip.received(clock(), data)
 
+    def share(self, choices: Callable) -> None:
+        """Routes share their limits from now on."""
+        if self.shares is None:
+            from dahliabend.net.program.shares import Shares
+
+            self.shares = Shares(self.name, choices, self.log)
+            self.gossip.parts, self.gossip.parted = self.shares.told, self.shares.heard
+        self.shares.hold()
+
     def saw(self, pool: str, upstream: str, outcome) -> None:
         self.gossip.ended(clock(), pool, upstream, outcome)
 
@@ -149,6 +159,12 @@
             shared = [(pool, router) for pool, router in self.pools() if router.shares is not None]
             heard = now >= self.machine.asking and self.machine.outcast != "dead"
             self.probing.beat(rows, bool(rows) and heard, shared)
+        if self.shares is not None:
+            settled = self.settled()
+            here = {m.name for m in settled.members} if settled else set()
+            machine = self.machine
+            left = {n for n in machine.gone if machine.members[n].rumour.standing is Standing.LEFT}
+            self.shares.beat(here, left, self.view().cut)
         gossip.beat(now, sorted(members))
         out, gossip.out = gossip.out, []
         for name, data in out:
@@ -176,6 +192,7 @@
         ]  # fmt: skip
         return {
             "name": self.name, "own": shown(gossip.rows(now)), "origins": origins, "believed": believed,
+            "shares": self.shares.shown() if self.shares is not None else [],
             "told": gossip.believed, "unread": gossip.unread, "refused": gossip.board.refused,
         }  # fmt: skip
 
--- a/dahliabend/net/program/service.py
+++ b/dahliabend/net/program/service.py
@@ -25,6 +25,7 @@
 from dahliabend.net.transport.descriptors import DOOR, OTHERS, Descriptors
 from dahliabend.net.transport.listener import Listener
 from dahliabend.routes.checks import Effective, targets
+from dahliabend.routes.choice import Choice
 from dahliabend.routes.plan import Plan, diff, passed_over, plan
 from dahliabend.settings import types
 from dahliabend.settings.source import path_of
@@ -168,6 +169,13 @@
         fleet.pools = self.signalled
         return fleet
 
+    def shared_limits(self) -> Iterator[tuple[Choice, int]]:
+        """The routes in force that share their limit, and how many balancers there are said to be."""
+        routes = self.desk.routes
+        for route, choice in zip(routes.file.routes, routes.choices, strict=True):
+            if route.shared:
+                yield choice, max(routes.file.pools[name].balancers for name in targets(route))
+
     def signalled(self) -> list[tuple[str, Router]]:
         return [(pool.name, pool.router) for pool in self.desk if not pool.retired]
 
@@ -218,6 +226,8 @@
             self.narrow(running, pool)
             self.list_of(running, pool)
         self.desk.use(file, profiles)
+        if any(route.shared for route in file.routes):
+            self.fleet.share(self.shared_limits)
         for name in [name for name in self.desk.names if name not in file.pools]:
             self.desk.retire(name)
         if isinstance(self.log, Structured):
--- /dev/null
+++ b/dahliabend/net/program/shares.py
@@ -0,0 +1,65 @@
+"""Limits of the whole fleet at work: each route's own part, stepped with the signals.
+
+Imported only where a route is `shared`: nothing else pays for it.
+"""
+
+from collections.abc import Callable, Iterable
+
+from dahliabend.net.transport.deadlines import clock
+from dahliabend.routes.choice import Choice
+from dahliabend.signals.board import Parted
+from dahliabend.turns.parts import Share
+
+SMOOTH = 1 / 4  # weight of the newest beat in what is asked
+MOVED = 1 / 10  # of the part last logged: a smaller change is not told
+
+
+class Shares:
+    """`choices`: the routes in force that share their limit, with how many balancers there are said to be."""
+
+    def __init__(self, me: str, choices: Callable[[], Iterable[tuple[Choice, int]]], log: Callable) -> None:
+        self.me, self.choices, self.log = me, choices, log
+        self.limits: dict[str, Share] = {}
+        self.asks: dict[str, float] = {}
+        self.logged: dict[str, float] = {}
+        self.then = 0
+
+    def hold(self) -> None:
+        """Before anybody is heard, and for routes that a reload brought: an equal part, never the whole."""
+        now = {choice.name: (choice, balancers) for choice, balancers in self.choices()}
+        for name, (choice, balancers) in now.items():
+            if name not in self.limits:
+                self.limits[name] = Share(self.me, balancers)
+                choice.limit.take(1.0 / balancers)
+        for name in [name for name in self.limits if name not in now]:
+            del self.limits[name]
+            self.asks.pop(name, None)
+
+    def heard(self, at: int, origin: str, parted: Parted) -> None:
+        if parted.limit in self.limits:
+            self.limits[parted.limit].heard(at, origin, parted.part, parted.ask)
+
+    def told(self) -> list[Parted]:
+        return [Parted(name, round(s.part, 6), round(s.ask, 6)) for name, s in sorted(self.limits.items())]
+
+    def beat(self, members: set[str], left: set[str], cut: bool) -> None:
+        self.hold()
+        now, span = clock(), clock() - self.then if self.then else 0
+        self.then = now
+        for choice, _ in self.choices():
+            share = self.limits[choice.name]
+            asked = choice.limit.ask(span)
+            self.asks[choice.name] = ask = self.asks.get(choice.name, 0.0) * (1 - SMOOTH) + asked * SMOOTH
+            share.follow(members, left, cut)
+            part = share.step(now, ask)
+            choice.limit.take(part)
+            if abs(part - self.logged.get(choice.name, 0.0)) > MOVED * part:
+                self.logged[choice.name] = part
+                self.log("share", route=choice.name, part=round(part, 4), asked=round(ask, 4))
+
+    def shown(self) -> list[dict]:
+        return [
+            {"route": name, "part": round(s.part, 4), "asked": round(s.ask, 4), "lost": sorted(s.lost),
+             "others": {other: round(told.part, 4) for other, told in sorted(s.others.items())}}
+            for name, s in sorted(self.limits.items())
+        ]  # fmt: skip
--- a/dahliabend/rig/play.py
+++ b/dahliabend/rig/play.py
@@ -23,6 +23,8 @@
 from dahliabend.rig.processes import Instance, free_ports
 from dahliabend.rig.relay import Relay
 from dahliabend.rig.traffic import CLASSES, Traffic
+from dahliabend.routes.limits import FEW
+from dahliabend.turns.parts import OVER
 
 TICK, LATE = (
     20_000,
@@ -31,6 +33,7 @@
 FAR = 4  # a condition's bound is so many times what the terms allow: far off, not to be reached by luck
 AT_ONCE = 6  # doors asked at once
 BUSY = 0.5  # seconds that a busy machine may add between an instance's look and an upstream's log
+LIMITED = 4.0  # seconds over which what a limit let through is counted
 EVEN = 21 / 20  # of the mean: the most that an upstream may be used where subsets add up
 RECENT = 64  # datagrams kept to be sent again by strangers
 
@@ -117,6 +120,7 @@
                     await self.until(step)
                 end = self.now
                 self.check_probes()
+                self.check_limit()
                 if self.traffic is not None:
                     await self.traffic.end()
             finally:
@@ -150,6 +154,22 @@
             self.outcome.counts["probes"] += len(times)
         self.outcome.counts["probe periods"] = round(len(self.upstreams) * (end - begin) / period)
 
+    def check_limit(self) -> None:
+        """By the upstreams' own logs: no more of what is limited ran in any span than a tenth above the
+        limit, and what had been saved up."""
+        limit, times = self.fleet.limit, sorted(self.traffic.submits) if self.traffic is not None else []
+        if not limit:
+            return
+        most, first = 0, 0
+        for last, at in enumerate(times):
+            while times[first] < at - LIMITED:
+                first += 1
+            most = max(most, last - first + 1)
+        allowed = OVER * limit * (LIMITED + BUSY) + FEW * len(self.instances)
+        self.outcome.counts.update({"limited": len(times), "limited most": most})
+        if most > allowed:
+            self.outcome.broken("limit", self.now, f"{most} in {LIMITED:g} s, {allowed:.0f} allowed")
+
     async def even(self) -> bool:
         """Does what all use add up? While upstreams come and go it does not: their troubles end before."""
         self.shown = {}
@@ -182,6 +202,7 @@
         text = CLASSES.format(
             discovery=joined(self.traffic.list_at), balancers=fleet.instances,
             subset=subset if fleet.subset else "",
+            limit=f'rate = "{fleet.limit}/s"\nshared = true' if fleet.limit else "",
         )  # fmt: skip
         for number in range(fleet.instances):
             made = Instance(number, folder, tuple(own[3 * number : 3 * number + 3]), self.heard)
--- a/dahliabend/rig/traffic.py
+++ b/dahliabend/rig/traffic.py
@@ -37,6 +37,7 @@
 path = "/submit"
 class = "submit"
 pool = "main"
+{limit}
 [[routes]]
 name = "rest"
 class = "query"
@@ -57,6 +58,7 @@
         self.list_at = ("127.0.0.1", ports[upstreams])
         self.asked: dict[str, tuple[float, str, int]] = {}
         self.served: Counter[str] = Counter()  # by upstream
+        self.submits: list[float] = []  # when each ran
         self.probed: dict[str, list[float]] = {}  # and when
         self.answers: Counter[str] = Counter()
         self.effects: Counter[str] = Counter()
@@ -180,6 +182,8 @@
         elif kind == "effect":
             trace, upstream = values
             self.effects[trace] += 1
+            if self.asked[trace][1] == "submit":
+                self.submits.append(now)
             self.served[upstream] += 1
             at = self.draining.get(upstream)
             if at is not None and now > at + (GRACE + SLACK) / S:
--- a/dahliabend/routes/checks.py
+++ b/dahliabend/routes/checks.py
@@ -302,6 +302,14 @@
         inherited = f" (for the route {name!r})" if key[0] != "routes" else ""
         source.fault(key, reason + inherited)
 
+    if route.shared:
+        key = ("routes", number, "shared")
+        if file.members is None or not file.members.signals:
+            source.fault(
+                key, "wants [members] with signals = true: by these the others hear of each one's part"
+            )
+        if made.rate is None and made.concurrency is None:
+            source.fault(key, "there is no rate and no concurrency to share")
     if made.total_time > limit:
         fault("total_time", f"{made.total_time} is over the hard limit of {route.class_!r}, {limit}")
     if made.hop_time is not None:
--- a/dahliabend/routes/limits.py
+++ b/dahliabend/routes/limits.py
@@ -1,4 +1,6 @@
-"""How many transactions of a route are let in: at once, and by time."""
+"""How many transactions of a route are let in: at once, and by time; all of a limit, or a part of it."""
+
+FEW = 3.0  # that a part of a limit lets in at once, where the whole does
 
 
 class Limit:
@@ -12,14 +14,30 @@
     (True, False, None, True)
     """
 
-    __slots__ = ("burst", "concurrency", "held", "level", "rate", "then")
+    __slots__ = ("asked", "burst", "concurrency", "held", "level", "part", "rate", "refused", "then", "whole")
 
     def __init__(
         self, concurrency: int | None = None, rate: float | None = None, burst: int | None = None
     ) -> None:
-        self.concurrency, self.rate = concurrency, (rate or 0.0) / 1e6
-        self.burst = float(max(1, burst or 0, round((rate or 0.0) / 10)))
-        self.held, self.level, self.then = 0, self.burst, 0
+        self.whole = concurrency, rate or 0.0, float(max(1, burst or 0, round((rate or 0.0) / 10)))
+        self.held = self.then = self.asked = self.refused = 0  # asked, refused: since somebody looked
+        self.take(1.0)
+        self.level = self.burst
+
+    def take(self, part: float) -> None:
+        """Of the whole limit only so much from now on; who is in hand stays so."""
+        concurrency, rate, burst = self.whole
+        # A bucket of one empties between two callers that come by chance: a third of a part would be lost.
+        self.part, self.rate, self.burst = part, rate * part / 1e6, max(min(burst, FEW), burst * part)
+        self.concurrency = concurrency and max(1, int(concurrency * part))
+        self.level = min(getattr(self, "level", self.burst), self.burst)
+
+    def ask(self, span: int) -> float:
+        """What has been asked of it since it was last looked at, in a span, as a part of the whole."""
+        asked, refused, (concurrency, rate, _) = self.asked, self.refused, self.whole
+        self.asked = self.refused = 0
+        by_rate = asked * 1e6 / (span * rate) if rate and span > 0 else 0.0
+        return min(1.0, max(by_rate, (self.held + refused) / concurrency if concurrency else 0.0))
 
     def _fill(self, now: int) -> None:
         self.level = min(self.burst, self.level + (now - self.then) * self.rate)
@@ -27,20 +45,27 @@
 
     def enter(self, now: int) -> bool:
         """Takes a place, to be given back by `leave`; false where there is none."""
-        if self.concurrency is not None and self.held >= self.concurrency:
+        self.asked += 1
+        if self._full(now):
+            self.refused += 1
             return False
+        self.held += 1
+        return True
+
+    def _full(self, now: int) -> bool:
+        if self.concurrency is not None and self.held >= self.concurrency:
+            return True
         if self.rate:
             self._fill(now)
             if self.level < 1:
-                return False
+                return True
             self.level -= 1
-        self.held += 1
-        return True
+        return False
 
     def become(self, other: "Limit") -> None:
         """Other terms from now on; who is in hand stays so."""
-        self.concurrency, self.rate, self.burst = other.concurrency, other.rate, other.burst
-        self.level = min(self.level, self.burst)
+        self.whole = other.whole
+        self.take(self.part)
 
     def leave(self) -> None:
         self.held -= 1
--- a/dahliabend/settings/types.py
+++ b/dahliabend/settings/types.py
@@ -105,6 +105,7 @@
     pools: dict[str, float] | None = None  # by weight
     split_by: str | None = None  # a header: the same value goes to the same pool
     fallback: str | None = None  # in place of its pool's
+    shared: bool = False  # its rate and concurrency are the whole fleet's, divided by what each is asked
     mirror: str | None = None  # a pool that gets copies whose answers are thrown away
     mirror_share: Share = Share(1.0)
 
--- a/dahliabend/signals/board.py
+++ b/dahliabend/signals/board.py
@@ -21,6 +21,14 @@
     bad: int
 
 
+class Parted(msgspec.Struct, array_like=True, frozen=True):
+    """Of one shared limit: the part of it that the sender holds, and what it is asked, both of the whole."""
+
+    limit: str
+    part: float
+    ask: float
+
+
 class Report(msgspec.Struct, array_like=True, frozen=True):
     """What one origin tells. `life` and `number` order its reports; `age` is how old it was when this
     datagram left, in milliseconds: clocks are compared nowhere. `hops`: how many have passed it on."""
@@ -32,13 +40,14 @@
     hops: int
     rows: list[Row]
     turns: list[Done] = []
+    parts: list[Parted] = []
 
     @property
     def sound(self) -> bool:
         return (
             0 < len(self.origin) <= 64
             and min(self.life, self.number, self.age, self.hops) >= 0
-            and max(len(self.rows), len(self.turns)) <= MOST_ROWS
+            and max(len(self.rows), len(self.turns), len(self.parts)) <= MOST_ROWS
             and all(done.sound and done.owner == self.origin for done in self.turns)
             and all(0 < row.tried <= MOST_COUNT and 0 <= row.bad <= row.tried and len(row.name) <= 64
                     and len(row.pool) <= 64 for row in self.rows)
--- a/dahliabend/signals/gossip.py
+++ b/dahliabend/signals/gossip.py
@@ -13,7 +13,7 @@
 
 from dahliabend.model import Outcome
 from dahliabend.signals.belief import Believed, Terms, believed
-from dahliabend.signals.board import MOST_COUNT, MOST_ROWS, Board, Report, Row
+from dahliabend.signals.board import MOST_COUNT, MOST_ROWS, Board, Parted, Report, Row
 from dahliabend.signals.seen import Seen
 from dahliabend.turns.duties import Done
 
@@ -40,6 +40,8 @@
         self.spoke = False  # did its last report say anything?
         self.turns: Callable[[int], list[Done]] | None = None  # what it does in turn with others, to be told
         self.heard: Callable[[int, Done], None] | None = None  # and who is told of theirs
+        self.parts: Callable[[], list[Parted]] | None = None  # of limits that it shares
+        self.parted: Callable[[int, str, Parted], None] | None = None
 
     # What comes in.
 
@@ -54,9 +56,13 @@
             self.unread += 1
             return
         for report in reports[:MOST_ROWS]:
-            if self.board.merge(now, report) and self.heard is not None:
+            news = self.board.merge(now, report)
+            if news and self.heard is not None:
                 for done in report.turns:
                     self.heard(now, msgspec.structs.replace(done, age=done.age + report.age))
+            if news and self.parted is not None:
+                for parted in report.parts:
+                    self.parted(now - report.age * MS, report.origin, parted)
 
     # What goes out.
 
@@ -77,7 +83,7 @@
             report = mine if held is None else msgspec.structs.replace(
                 held.report, age=(now - held.since) // MS, hops=held.report.hops + 1
             )  # fmt: skip
-            if not report.rows and not report.turns and held is not None:
+            if not (report.rows or report.turns or report.parts) and held is not None:
                 continue
             packed = _encode(report)
             if len(packed) > room:
@@ -86,7 +92,7 @@
             parts.append(msgspec.Raw(packed))
             if held is not None:
                 held.passed += 1
-        if len(parts) == 1 and not mine.rows and not mine.turns and not self.spoke:
+        if len(parts) == 1 and not (mine.rows or mine.turns or mine.parts or self.spoke):
             return  # nothing to tell, and nothing to take back
         self.spoke = bool(mine.rows)
         data = _encode(parts)
@@ -108,7 +114,8 @@
             if room < 0:
                 break
             turns.append(done)
-        return Report(self.me, self.life, self.number, 0, 0, kept, turns)
+        shares = self.parts()[:MOST_ROWS] if self.parts is not None else []
+        return Report(self.me, self.life, self.number, 0, 0, kept, turns, shares)
 
     def rows(self, now: int) -> list[Row]:
         """What there is to tell, the most surprising first: what fails, then what there is most of."""
--- a/dahliabend/turns/parts.py
+++ b/dahliabend/turns/parts.py
@@ -73,7 +73,7 @@
     def step(self, now: int, ask: float) -> float:
         """Once a beat: what is asked here, of the whole. The part that it may let in from now on."""
         self.ask = min(max(ask, 0.0), 1.0)
-        others = self.members - {self.me}
+        others = sorted(self.members - {self.me})
         if not others:
             # Nobody is known: an equal part of those there are said to be, or that there were.
             count = max(self.balancers, len(self.members) + len(self.lost))
--- a/tests/rig/test_rig.py
+++ b/tests/rig/test_rig.py
@@ -48,3 +48,11 @@
     assert asyncio.run(rig.play()).violations == []
     counts = rig.outcome.counts
     assert 0.5 * counts["probe periods"] <= counts["probes"] <= 1.5 * counts["probe periods"]
+
+
+def test_a_limit_of_the_whole_fleet_holds_between_real_processes():
+    rig = Rig(script.read(str(SCRIPT.parent / "limits.toml")), traffic=200, upstreams=8)
+    assert asyncio.run(rig.play()).violations == []
+    counts = rig.outcome.counts
+    assert counts["tx asked"] * 0.4 > 1.5 * counts["limited"], "more is asked than is let in"
+    assert counts["limited most"] > 0.6 * 40 * 4, "and what may be let in is"
--- a/tests/routes/test_choice.py
+++ b/tests/routes/test_choice.py
@@ -26,6 +26,24 @@
     return None if number is None else routes[number].name
 
 
+def test_a_part_of_a_limit_lets_in_its_part_and_says_what_was_asked():
+    limit = Limit(rate=100.0, concurrency=40)
+    limit.take(0.25)
+    entered = sum(limit.enter(now) for now in range(0, 2_000_000, 5_000))
+    assert entered == 10 and limit.concurrency == 10, "in hand, all at once"
+    for _ in range(entered):
+        limit.leave()
+    assert limit.ask(2_000_000) == 1.0 and limit.ask(1_000_000) == 0.0
+    let_in = 0
+    for now in range(2_000_000, 6_000_000, 5_000):
+        if limit.enter(now):
+            let_in += 1
+            limit.leave()
+    assert 100 <= let_in <= 100 + 10
+    limit.become(Limit(rate=200.0))
+    assert limit.concurrency is None and limit.rate == 200.0 * 0.25 / 1e6
+
+
 def test_the_longest_path_goes_first_by_whole_segments():
     routes = [route("all"), route("a", "/a"), route("ab", "/a/b/")]
     assert found(routes, "GET", "/a/b/c?x=/a") == "ab" and found(routes, "GET", "/a/bc") == "a"
