--- a/tests/program/test_events.py
+++ b/tests/program/test_events.py
@@ -17,8 +17,8 @@
 
 
 def calls():
-    """Each call of a log in the network code that names its event: the event, its fields, the place."""
-    for path in sorted((ROOT / "net").rglob("*.py")):
+    """Each call of a log in the network code, or of turns, that names its event; its fields, the place."""
+    for path in sorted([*(ROOT / "net").rglob("*.py"), *(ROOT / "turns").rglob("*.py")]):
         for node in ast.walk(ast.parse(path.read_text())):
             if not isinstance(node, ast.Call) or not node.args:
                 continue
