--- a/dahliabend/turns/duties.py
+++ b/dahliabend/turns/duties.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from zlib import crc32
 
 import msgspec
 
@@ -20,7 +21,9 @@
 # Another's claim is not outdone for so long, of a period: where all are overdue at once, two would outdo each
 # other for ever, and nobody would do it.
 HOLDS = 1 / 2
+HEARS = 3 / 10  # of a period: how long the others are heard first, after a pause: longer than a word's way
 LATE = 1 / 4  # of a period: a waking later than that is a pause
+OWN = 16  # bits of a number that are its taker's own
 MOST = 4_096  # duties known at the most
 MS = 1_000
 
@@ -87,7 +90,7 @@
             self.members = told
             self.places.clear()
         if settled and not self.settled:
-            self.quiet = max(self.quiet, now + round(CLAIM * self.period))  # the others are heard first
+            self.hear_first(now)
         self.settled = settled
 
     def are(self, now: int, duties: Mapping[str, str]) -> None:
@@ -118,6 +121,18 @@
             known.at, known.result = max(known.at, now - done.age * MS), done.result
         return True
 
+    def after(self, fence: int) -> int:
+        """The next number, and no other instance's: two that claim at once must not both work under it."""
+        return (fence >> OWN) + 1 << OWN | crc32(self.me.encode()) % (1 << OWN)
+
+    def hear_first(self, now: int) -> None:
+        """Stopped with a lease in hand: another may have it by now, its telling unread or still on its way.
+        It claims anew, like anybody, and only after a while."""
+        self.quiet = max(self.quiet, now + round(HEARS * self.period))
+        for known in self.known.values():
+            if known.owner == self.me:
+                known.owner = ""
+
     # What is to be done.
 
     def place(self, duty: str) -> int:
@@ -130,8 +145,7 @@
     def wake(self, now: int) -> list[Turn]:
         """Those whose turn it is; each is to be told of with `worked`."""
         if self.last and now - self.last > LATE * self.period:
-            # Stopped with a lease in hand: another has it by now, and its telling lies unread.
-            self.quiet = max(self.quiet, now + round(CLAIM * self.period))
+            self.hear_first(now)
         self.last = now
         if not self.settled or now < self.quiet:
             return []
@@ -144,7 +158,12 @@
             if known.owner != self.me:
                 claimed = known.owner and not known.count and now - known.told < HOLDS * self.period
                 if now >= turn - CLAIM * self.period and not claimed:
-                    known.fence, known.owner, known.count, known.told = known.fence + 1, self.me, 0, now
+                    known.fence, known.owner, known.count, known.told = (
+                        self.after(known.fence),
+                        self.me,
+                        0,
+                        now,
+                    )
                 continue  # not before the claim has been out for a while
             if now >= turn and now - known.told >= CLAIM * self.period / 2 or known.count and now >= turn:
                 made.append(Turn(duty, known.fence))
