Cold upstreams that fell are counted by themselves, not by the next hop sent there

Read-through: a fallen upstream that nobody sent to again was not counted in the plays of fleets at work.

--- a/dahliabend/emulator/fleets/nodes.py
+++ b/dahliabend/emulator/fleets/nodes.py
@@ -36,7 +36,7 @@
         self.failing, self.slower, self.hung, self.gone = 0.0, 1.0, False, False
         self.sent: deque[tuple[int, int]] = deque()  # while cold: when and how much work came
         self.pressure = 0
-        self.fallen = False
+        self.fallen = self.silent = False  # silent: its machine is gone too, nothing says so
         self.deaf_to: set[int] = set()  # balancers that it does not hear
 
     def warmth(self, now: int) -> float:
--- a/dahliabend/emulator/fleets/work.py
+++ b/dahliabend/emulator/fleets/work.py
@@ -106,7 +106,6 @@
         asked.hops.append(hop)
         number = len(asked.hops) - 1
         work.counts["hops"] += 1
-        work.sent(node, self, now)
         resting = self.links.setdefault(upstream, [])
         way = WAY
         while resting and now - resting[0] > REST:
@@ -458,7 +457,6 @@
         born = self.clock if born is None else born
         node = Node(len(self.nodes), name, self.zone_of(number), self.kind, born,
                     Random(f"{self.fleet.seed} {name} {born}"))  # fmt: skip
-        node.silent = False
         self.nodes.append(node)
         self.places[name] = node
         self.announce(node)
@@ -486,11 +484,6 @@
         if told:
             self.announce(node)
 
-    def sent(self, node: Node, copy: Copy, now: int) -> None:
-        if node.fallen and not getattr(node, "told", False):
-            node.told = True
-            self.counts["fallen"] += 1
-
     # Callers.
 
     def come(self) -> None:
@@ -525,6 +518,7 @@
         """Callers come no more, and those that are there get their answers."""
         self.finished = True
         self.run(LIMIT + S)
+        self.counts["fallen"] = sum(node.fallen for node in self.nodes)
 
     def forget(self) -> None:
         """What was counted until now was the start."""
--- a/tests/fleets/test_work.py
+++ b/tests/fleets/test_work.py
@@ -95,6 +95,7 @@
         made.bring_up(f"u{number + POOL}")
         made.run(S // 3)
     made.run(20 * S)
+    made.finish()
     assert made.counts["fallen"] == 0 and made.figures.share >= 0.97
     assert all(set(copy.weights) <= made.places.keys() for copy in made.copies.values())
 
