--- a/experiments/signals.py
+++ b/experiments/signals.py
@@ -95,10 +95,11 @@
     tasks = [(scenario, subsets, way, seed) for seed in range(given.seeds) for scenario in given.scenarios for subsets in (False, True) for way in given.ways]
     began, rows = time(), []
     with Pool(given.jobs) as pool:
-        for row in pool.imap_unordered(play, tasks, chunksize=2):
+        for row in pool.imap_unordered(play, tasks):
             rows.append(row)
-    (given.out / "signals.json").write_text(json.dumps(rows) + "\n")
-    (given.out / "signals.md").write_text(page(rows))
+            if len(rows) % plays.EACH == 0 or len(rows) == len(tasks):
+                (given.out / "signals.json").write_text(json.dumps(rows) + "\n")
+                (given.out / "signals.md").write_text(page(rows))
     print(f"{time() - began:.0f} s")
 
 
--- a/experiments/subset_work.py
+++ b/experiments/subset_work.py
@@ -25,6 +25,7 @@
 MANY, POOL, RATE, ZONES = 40, 60, 330.0, 3
 FULL = {"uneven": 450.0, "most": 120.0}  # another rate
 BEFORE, AFTER = 20, 25  # seconds
+EACH = 24  # runs between two writings
 DRAWS = 2_000  # of a bootstrap
 WAYS = {"none": (None, False), "subsets": (Terms(balancers=MANY), False), "with demand": (Terms(balancers=MANY), True)}
 
@@ -213,11 +214,12 @@
     tasks = [(scenario, way, seed) for seed in range(given.seeds) for scenario in given.scenarios for way in given.ways]
     began, rows = time(), []
     with Pool(given.jobs) as pool:
-        for row in pool.imap_unordered(play, tasks, chunksize=2):
+        for row in pool.imap_unordered(play, tasks):
             rows.append(row)
-    rows.sort(key=lambda row: (row["scenario"], given.ways.index(row["way"]), row["seed"]))
-    (given.out / "subset-work.json").write_text(json.dumps(rows) + "\n")
-    (given.out / "subset-work.md").write_text(page(rows, given.ways[0]))
+            if len(rows) % EACH == 0 or len(rows) == len(tasks):  # cut short, it has said what it found so far
+                rows.sort(key=lambda row: (row["scenario"], given.ways.index(row["way"]), row["seed"]))
+                (given.out / "subset-work.json").write_text(json.dumps(rows) + "\n")
+                (given.out / "subset-work.md").write_text(page(rows, given.ways[0]))
     print(f"{time() - began:.0f} s")
 
 
