Limits shared no more after a reload are whole again; where signals wait, an equal part

Read-through: a reload that took 'shared' off a route left it its part, and one that brought it into a process without signals ended in an error. Tests fail without.

--- a/dahliabend/net/program/service.py
+++ b/dahliabend/net/program/service.py
@@ -169,6 +169,20 @@
         fleet.pools = self.signalled
         return fleet
 
+    def divide_limits(self) -> None:
+        """Limits that routes share with the fleet's; the others are whole, also where they were shared before
+        a reload. Where signals wait for a restart, an equal part: never the whole, by each one."""
+        routes = self.desk.routes
+        for route, choice in zip(routes.file.routes, routes.choices, strict=True):
+            if not route.shared:
+                choice.limit.take(1.0)
+        if not any(route.shared for route in routes.file.routes):
+            return
+        if self.fleet is not None and self.fleet.gossip is not None:
+            return self.fleet.share(self.shared_limits)
+        for choice, balancers in self.shared_limits():
+            choice.limit.take(1.0 / balancers)
+
     def shared_limits(self) -> Iterator[tuple[Choice, int]]:
         """The routes in force that share their limit, and how many balancers there are said to be."""
         routes = self.desk.routes
@@ -226,8 +240,7 @@
             self.narrow(running, pool)
             self.list_of(running, pool)
         self.desk.use(file, profiles)
-        if any(route.shared for route in file.routes):
-            self.fleet.share(self.shared_limits)
+        self.divide_limits()
         for name in [name for name in self.desk.names if name not in file.pools]:
             self.desk.retire(name)
         if isinstance(self.log, Structured):
