Read-through: one piece for what fits a datagram, for experiments' runs; views taken once a beat

Found in the change itself: the two loops that fill half a datagram were one; a report was made also where nobody is there to hear it; a beat of signals asked for the settled view twice and for the latest three times; a condition of duties named one half twice; the two experiments had the same closing lines. Behaviour as it was.

--- a/dahliabend/net/program/fleet.py
+++ b/dahliabend/net/program/fleet.py
@@ -141,7 +141,8 @@
         """A beat: what others told is believed or not, and what this one saw goes out."""
         now, gossip = clock(), self.gossip
         self.beating = self.deadlines.at(now + BEAT, self.signal)
-        members = {m.name for m in self.view().members if m.state != "unreached"}
+        view, settled = self.view(), self.settled()
+        members = {m.name for m in view.members if m.state != "unreached"}
         for pool, router in self.pools():
             balancer, places = router.balancer, router.yard.upstreams
             indices = {places[u.index].name: u.index for u in balancer.ready if not u.aside}
@@ -154,17 +155,15 @@
                 self.believed = [*self.believed[1 - LAST :], told_now]
                 self.log("believed", pool=pool, upstream=each.name, origins=each.origins)
         if self.probing is not None:
-            settled = self.settled()
             rows = [(m.name, m.zone) for m in settled.members if m.state != "unreached"] if settled else ()
             shared = [(pool, router) for pool, router in self.pools() if router.shares is not None]
             heard = now >= self.machine.asking and self.machine.outcast != "dead"
             self.probing.beat(rows, bool(rows) and heard, shared)
         if self.shares is not None:
-            settled = self.settled()
             here = {m.name for m in settled.members} if settled else set()
             machine = self.machine
             left = {n for n in machine.gone if machine.members[n].rumour.standing is Standing.LEFT}
-            self.shares.beat(here, left, self.view().cut)
+            self.shares.beat(here, left, view.cut)
         gossip.beat(now, sorted(members))
         out, gossip.out = gossip.out, []
         for name, data in out:
--- a/dahliabend/signals/gossip.py
+++ b/dahliabend/signals/gossip.py
@@ -28,6 +28,17 @@
 _decode = msgspec.msgpack.Decoder(list[Report]).decode
 
 
+def fitting(items: list) -> list:
+    """The first ones, as many as half a datagram holds."""
+    kept, room = [], ROOM // 2
+    for item in items[:MOST_ROWS]:
+        room -= len(_encode(item))
+        if room < 0:
+            break
+        kept.append(item)
+    return kept
+
+
 class Gossip:
     def __init__(self, me: str, life: int, chance: Random, terms: Terms | None = None) -> None:
         self.me, self.life, self.chance, self.terms = me, life, chance, terms or Terms()
@@ -68,9 +79,9 @@
 
     def beat(self, now: int, members: Iterable[str]) -> None:
         others = [name for name in members if name != self.me]
-        mine = self.report(now)
         if not others:
             return
+        mine = self.report(now)
         self.board.fresh(now)
         # The newest first: they have been passed on least, here and on their way.
         ordered = sorted(
@@ -100,22 +111,11 @@
             self.out.append((name, data))
 
     def report(self, now: int) -> Report:
-        """As much as half a datagram holds."""
+        """Of rows and turns as many each as half a datagram holds."""
         self.number += 1
-        kept, room = [], ROOM // 2
-        for row in self.rows(now)[:MOST_ROWS]:
-            room -= len(_encode(row))
-            if room < 0:
-                break
-            kept.append(row)
-        turns, room = [], ROOM // 2
-        for done in self.turns(now)[:MOST_ROWS] if self.turns is not None else ():
-            room -= len(_encode(done))
-            if room < 0:
-                break
-            turns.append(done)
+        turns = fitting(self.turns(now)) if self.turns is not None else []
         shares = self.parts()[:MOST_ROWS] if self.parts is not None else []
-        return Report(self.me, self.life, self.number, 0, 0, kept, turns, shares)
+        return Report(self.me, self.life, self.number, 0, 0, fitting(self.rows(now)), turns, shares)
 
     def rows(self, now: int) -> list[Row]:
         """What there is to tell, the most surprising first: what fails, then what there is most of."""
--- a/dahliabend/subsets/keeper.py
+++ b/dahliabend/subsets/keeper.py
@@ -59,9 +59,8 @@
 def answering(balancer, now: int) -> int:
     """Of those in use, how many can be sent to, as the decisions see them (`decide.Balancer`)."""
     heard = balancer.last_heard
-    vain = sum(
-        u.ended > max(heard, u.filled) for u in balancer.ready
-    )  # a hop there has ended unanswered since
+    # Where a hop has ended unanswered since.
+    vain = sum(u.ended > max(heard, u.filled) for u in balancer.ready)
     if now - heard >= balancer.window and vain >= min(SILENT, len(balancer.ready)) > 0:
         # The decisions set nobody aside while all are silent: that is the tier's trouble. But these are only
         # some of it, and the rest may answer.
--- a/dahliabend/turns/duties.py
+++ b/dahliabend/turns/duties.py
@@ -158,14 +158,10 @@
             if known.owner != self.me:
                 claimed = known.owner and not known.count and now - known.told < HOLDS * self.period
                 if now >= turn - CLAIM * self.period and not claimed:
-                    known.fence, known.owner, known.count, known.told = (
-                        self.after(known.fence),
-                        self.me,
-                        0,
-                        now,
-                    )
+                    known.fence, known.owner = self.after(known.fence), self.me
+                    known.count, known.told = 0, now
                 continue  # not before the claim has been out for a while
-            if now >= turn and now - known.told >= CLAIM * self.period / 2 or known.count and now >= turn:
+            if now >= turn and (known.count or now - known.told >= CLAIM * self.period / 2):
                 made.append(Turn(duty, known.fence))
         return made
 
--- a/experiments/signals.py
+++ b/experiments/signals.py
@@ -5,12 +5,9 @@
 """
 
 import argparse
-import json
 import sys
-from multiprocessing import Pool
 from pathlib import Path
 from random import Random
-from time import time
 
 import numpy as np
 
@@ -93,14 +90,7 @@
     given = parser.parse_args()
     given.out.mkdir(parents=True, exist_ok=True)
     tasks = [(scenario, subsets, way, seed) for seed in range(given.seeds) for scenario in given.scenarios for subsets in (False, True) for way in given.ways]
-    began, rows = time(), []
-    with Pool(given.jobs) as pool:
-        for row in pool.imap_unordered(play, tasks):
-            rows.append(row)
-            if len(rows) % plays.EACH == 0 or len(rows) == len(tasks):
-                (given.out / "signals.json").write_text(json.dumps(rows) + "\n")
-                (given.out / "signals.md").write_text(page(rows))
-    print(f"{time() - began:.0f} s")
+    plays.play_all(play, tasks, given.jobs, given.out / "signals", page)
 
 
 if __name__ == "__main__":
--- a/experiments/subset_work.py
+++ b/experiments/subset_work.py
@@ -202,6 +202,18 @@
     return "\n".join(out) + "\n"
 
 
+def play_all(play, tasks: list, jobs: int, out: Path, text) -> None:
+    """All of it over processes, written as it goes: cut short, it has said what it found so far."""
+    began, rows = time(), []
+    with Pool(jobs) as pool:
+        for row in pool.imap_unordered(play, tasks):
+            rows.append(row)
+            if len(rows) % EACH == 0 or len(rows) == len(tasks):
+                out.with_suffix(".md").write_text(text(rows))
+                out.with_suffix(".json").write_text(json.dumps(rows) + "\n")
+    print(f"{time() - began:.0f} s")
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("out", type=Path)
@@ -212,15 +224,12 @@
     given = parser.parse_args()
     given.out.mkdir(parents=True, exist_ok=True)
     tasks = [(scenario, way, seed) for seed in range(given.seeds) for scenario in given.scenarios for way in given.ways]
-    began, rows = time(), []
-    with Pool(given.jobs) as pool:
-        for row in pool.imap_unordered(play, tasks):
-            rows.append(row)
-            if len(rows) % EACH == 0 or len(rows) == len(tasks):  # cut short, it has said what it found so far
-                rows.sort(key=lambda row: (row["scenario"], given.ways.index(row["way"]), row["seed"]))
-                (given.out / "subset-work.json").write_text(json.dumps(rows) + "\n")
-                (given.out / "subset-work.md").write_text(page(rows, given.ways[0]))
-    print(f"{time() - began:.0f} s")
+
+    def text(rows: list[dict]) -> str:
+        rows.sort(key=lambda row: (row["scenario"], given.ways.index(row["way"]), row["seed"]))
+        return page(rows, given.ways[0])
+
+    play_all(play, tasks, given.jobs, given.out / "subset-work", text)
 
 
 if __name__ == "__main__":
