A configuration turned down names its file, beside key and reason

A file that is cut or empty was refused with the reader's reason alone ("Input data was truncated"): with several balancers on one machine nobody could tell which file. Errors of `read_node` begin with the path; the test of SIGHUP asks for it. The file in force goes on, as before.

--- a/dahliabend/config.py
+++ b/dahliabend/config.py
@@ -190,6 +190,13 @@
         raw = machine.read_file(path)
     except OSError as error:
         raise ValueError(f"PROXY_CONFIG: {path}: {error.strerror}") from None
+    try:
+        return _read(raw, environment, needed)
+    except ValueError as error:  # msgspec's errors are a kind of it
+        raise ValueError(f"{path}: {error}") from None
+
+
+def _read(raw: bytes, environment: Mapping[str, str], needed: frozenset[str]) -> Node:
     tree = msgspec.json.decode(raw)
     node = msgspec.convert(tree, _Node)
     keys = _keys(tree)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess
 import sys
+import time
 from contextlib import ExitStack, closing
 from queue import Empty
 from threading import Event
@@ -29,6 +30,8 @@
     until,
 )
 
+SETTLE = CONF["caps"]["dial-timeout"] / 8 / 1000  # seconds in which a second answer may still come
+
 
 def test_a_transaction_passes_unchanged_and_connections_are_kept():
     up = Upstream()
@@ -43,6 +46,7 @@
             assert first == "POST /submit?a=b HTTP/1.1" and sent == body and headers["x-trace-id"] == trace
             assert 0 < int(headers["x-expires-in-ms"]) <= 1500
             assert headers["x-own"] == "7" and "x-hop" not in headers
+            time.sleep(SETTLE)
         assert len(up.open) == 1
 
 
@@ -251,7 +255,7 @@
     one, two, other = Upstream(), Upstream(), Agent()
     with program(one, two, agent=Agent(entry("s-1", one))) as (address, process, agent), closing(other):
         replace(process, discovery="127.0.0.1:70000")
-        assert logged(process, "reload.refused")["why"].startswith("discovery: ")
+        assert logged(process, "reload.refused")["why"].startswith(f"{process.path}: discovery: ")
         assert Caller(address).ask()[0] == 200 and len(agent.watches) == 1
         other.servers = [entry("s-2", two)]
         replace(process, discovery=other.address, log="debug")
