Attempts go onto a connection through one gate, and connections settle after an answer

From the read for races, each shown by a test on real connections that fails on the code before: - A second answer some milliseconds late was taken for the answer to the next request on that connection, and passed on to the wrong client: connections were used again at once. `send_on` is the one way onto a connection; the phases are explicit; `Ticket.close` takes back what is not wholly on its way.

--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -41,25 +41,38 @@
     def passed_by(self) -> None:
         self.handle.passed_by()
 
+    def close(self, by: "Hop | None" = None) -> None:
+        """It has its answer, which `by` may still bring, or its caller has gone. Nothing more is sent."""
+        self.answered = True
+        for hop in tuple(self.hops):
+            if hop is not by:
+                hop.unsend()
+
 
 class Hop(Errand):
     """One sending of a transaction."""
 
     def __init__(self, router: "Router", ticket: Ticket, upstream, timeout: int) -> None:
         self.upload = ticket.upload
-        length, wait = len(ticket.body), timeout
-        if self.upload is not None:
-            length, wait = self.upload.length, min(timeout, ticket.expires)
-        framing = b"Transfer-Encoding: chunked" if length is None else b"Content-Length: %d" % length
-        head = b"%bX-Expires-In-Ms: %d\r\n%b%b\r\n\r\n" % (
-            ticket.head, max(1, wait // 1000), ticket.passed, framing,
-        )  # fmt: skip
-        super().__init__(upstream, head, ticket.body, timeout)
+        super().__init__(upstream, ticket.head, ticket.body, timeout)
         self.router, self.ticket, self.order = router, ticket, len(ticket.hops)
         self.flowing, self.moved, self.first = False, 0, 0  # `first`: when a long answer's first byte came
         self.hurry: list | None = None
         self.late: list | None = None  # when a second hop beside this one is asked for
 
+    def awaited(self) -> bool:
+        return not self.ticket.answered
+
+    def head_for(self, left: int) -> bytes:
+        # Told when it was chosen, the time would be too long by what the connection took to come up.
+        ticket, length = self.ticket, len(self.body)
+        if self.upload is not None:
+            length, left = self.upload.length, min(left, ticket.expires)
+        framing = b"Transfer-Encoding: chunked" if length is None else b"Content-Length: %d" % length
+        return b"%bX-Expires-In-Ms: %d\r\n%b%b\r\n\r\n" % (
+            self.head, max(1, left // 1000), ticket.passed, framing,
+        )  # fmt: skip
+
     def slow(self) -> None:
         self.ticket.handle.slow(clock())
 
@@ -112,7 +125,7 @@
         if ticket.answered:  # the hop beside it was quicker: two answers would be one too many
             return self.give_up(Outcome.CANCELLED)
         self.flowing, self.moved, self.first = True, clock(), clock()
-        ticket.answered = True
+        ticket.close(by=self)
         ticket.handle.begun(self.moved, self.order)
         ticket.caller.begin(passed, length, self.link)
         self.upstream.yard.deadlines.drop(self.deadline)
@@ -305,7 +318,7 @@
         if ticket is None:
             return
         if not ticket.answered:
-            ticket.answered = True
+            ticket.close()
             self.note("left", ticket)
             ticket.handle.left(clock())
             self.drop_if_over(ticket)
@@ -397,7 +410,7 @@
     def roll_back(self, ref: int, come_back_in: int) -> None:
         ticket = self.tickets.get(ref)
         if ticket is not None and ticket.otherwise is not None and not ticket.hops:
-            ticket.answered = True
+            ticket.close()
             self.note("passed_on", ticket)
             return ticket.otherwise(ref)
         advice = b"Retry-After: %.3f\r\n" % (come_back_in / 1e6) if come_back_in else b""
@@ -445,7 +458,7 @@
         ticket = self.tickets.get(ref)
         if ticket is None or ticket.answered:
             return
-        ticket.answered = True
+        ticket.close()
         self.note(how, ticket)
         ticket.caller.answer(status, headers, body)
 
--- a/dahliabend/net/routing/upstreams.py
+++ b/dahliabend/net/routing/upstreams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import IntEnum
 
 from dahliabend.model import Outcome, State
 from dahliabend.net.protocol.upstreams import Link
@@ -10,6 +11,16 @@
 from dahliabend.net.transport.descriptors import Descriptors
 
 MOST_ONCE = 4096  # ids remembered: an operator's call may name one that is not listed now
+SETTLE = 8  # of the dialling time: for as long after an answer a second one may come on its connection
+
+
+class Phase(IntEnum):
+    """Of something asked of an upstream. It only goes forward, from any phase to the last."""
+
+    ASKED = 0  # nothing to send it on yet
+    DIALING = 1  # a connection comes up for it
+    SENT = 2  # put on a connection, in part or whole
+    OVER = 3  # its outcome is settled
 
 
 class Errand:
@@ -21,25 +32,38 @@
         self.upstream, self.head, self.body, self.sent = upstream, head, body, clock()
         self.link: Link | None = None
         self.dialing: asyncio.Task | None = None
-        self.over, self.why, self.rested = False, "", 0  # `rested`: how long its connection had been idle
+        self.phase, self.why, self.rested = Phase.ASKED, "", 0  # `rested`: how long its connection was idle
         self.until = self.sent + timeout
         self.deadline: list | None = None
 
     def ended(self, outcome: Outcome, took: int, answer: tuple | None) -> None:
         raise NotImplementedError
 
+    def awaited(self) -> bool:
+        """Does anybody still wait for what comes of it?"""
+        return True
+
+    def head_for(self, left: int) -> bytes:
+        """What goes out ahead of the body, with so much time left, in microseconds."""
+        return self.head
+
+    @property
+    def over(self) -> bool:
+        return self.phase is Phase.OVER
+
     def start(self) -> None:
         yard = self.upstream.yard
         self.deadline = yard.deadlines.at(self.until, self.timed_out)
-        self.link, self.rested = self.upstream.rested(self.sent)
-        if self.link is not None:
-            self.link.ask(self, self.head, self.body, self.upload)
+        link, self.rested = self.upstream.rested(self.sent)
+        if link is not None:
+            self.send_on(link)
         elif yard.descriptors.full(self.sent):
             self.end_soon(Outcome.MOOT)  # no socket left: the upstream is not to blame
         else:
             # Its place in the table is taken here: taken once the dialling begins, a turn of the loop later,
             # all that start in one turn would find the same room, and overrun the table.
             link = Link(yard.descriptors, self.upstream)
+            self.phase = Phase.DIALING
             self.dialing = yard.deadlines.loop.create_task(self.connect(yard, link))
             self.dialing.add_done_callback(lambda _: link.never_came_up())
 
@@ -56,10 +80,24 @@
             yard.deadlines.drop(limit)
             self.dialing = None
         self.upstream.links.add(link)
-        if self.over:  # called off meanwhile: the connection is as good as new
-            return self.upstream.free(link)
-        self.link = link
-        link.ask(self, self.head, self.body, self.upload)
+        self.send_on(link)
+
+    def send_on(self, link: Link) -> None:
+        """The one way onto a connection. Since its upstream was chosen the connection may have taken long to
+        come up: what was called off, is awaited by nobody, is out of time, or whose upstream has begun to
+        drain, is not sent, and the connection is as good as new."""
+        left, unsent = self.until - clock(), None
+        if not self.awaited():
+            unsent = Outcome.CANCELLED
+        elif left <= 0:
+            unsent = Outcome.MOOT
+        elif not self.upstream.wanted:
+            self.why, unsent = "not to be sent to any more", Outcome.UNREACHABLE
+        if self.over or unsent is not None:
+            self.upstream.free(link)
+            return self.end_soon(unsent)
+        self.phase, self.link = Phase.SENT, link
+        link.ask(self, self.head_for(left), self.body, self.upload)
 
     # What comes back.
 
@@ -86,6 +124,12 @@
         if self.dialing is None:
             self.give_up(Outcome.TIMED_OUT)
 
+    def unsend(self) -> None:
+        """Nobody waits for it any more: what is not wholly on its way never goes. No cancel, as nothing has
+        begun; so also where cancels are not allowed."""
+        if self.link is None or not self.link.whole:
+            self.give_up(Outcome.CANCELLED)
+
     def give_up(self, outcome: Outcome) -> None:
         """Stops waiting. The connection ends before anything else is sent: no two hops are out at once."""
         if self.over:
@@ -107,7 +151,7 @@
             self.ended(outcome, clock() - self.sent, answer)
 
     def settle(self) -> None:
-        self.over, self.link = True, None
+        self.phase, self.link = Phase.OVER, None
         self.upstream.yard.deadlines.drop(self.deadline)
 
 
@@ -126,9 +170,13 @@
 
     def rested(self, now: int) -> tuple[Link | None, int]:
         """A connection at rest, if one is surely still open at the other end, and for how long it was."""
-        while self.resting:
-            link = self.resting.pop()
+        for at in reversed(range(len(self.resting))):
+            link = self.resting[at]
             idle = now - self.yard.descriptors.idle.get(link.number, 0)
+            if idle < self.yard.settle and not link.closed:
+                # A second answer may come some milliseconds late: it would be taken for the next one's.
+                continue
+            del self.resting[at]
             # Bytes that nobody asked for, read after the next request, would pass for its answer.
             if not link.closed and idle < self.yard.rest and link.waiting() is None:
                 self.yard.descriptors.busy(link.number)
@@ -178,12 +226,16 @@
         self, deadlines: Deadlines, descriptors: Descriptors, dial_time: int, rest: int, log: Callable
     ) -> None:
         self.deadlines, self.descriptors, self.dial_time, self.log = deadlines, descriptors, dial_time, log
-        self.rest = rest  # for how long an idle connection is used again
+        self.rest = rest  # for how long an idle connection is used again, from `settle` on
         self.upstreams: dict[int, Upstream] = {}
         self.indices: dict[str, int] = {}
         self.once: dict[str, None] = {}  # ids ever listed, the latest last
         self.next = 0
 
+    @property
+    def settle(self) -> int:
+        return self.dial_time // SETTLE
+
     def find(self, name: str) -> Upstream:
         index = self.indices.get(name)
         if index is None:
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -1,10 +1,12 @@
 """Races that the acceptance names, on real connections: what the peers send forces the bad order."""
 
+import socket
 import time
 from contextlib import closing
 from queue import Queue
+from threading import Event
 
-from helpers import CONF, PATIENCE, Agent, Caller, Upstream, answer, entry, program, until
+from helpers import CONF, PATIENCE, Agent, Caller, Upstream, answer, call, entry, logged, program, until
 
 LONG = [{**profile, "service-goal": 60_000.0, "hard-limit": 60_000.0} for profile in CONF["profiles"]]
 
@@ -13,6 +15,103 @@
     return {"caps": {**CONF["caps"], **changes}, "profiles": LONG}
 
 
+class Late(Upstream):
+    """Its connections come up late: the system's queue is full, so it drops a first packet, and the next one
+    comes a second later. `open_up` takes them all in."""
+
+    def __init__(self, play=None):
+        self.up = Event()
+        self.fillers = []
+        super().__init__(play)
+
+    def accept(self):
+        self.sock.listen(0)
+        for _ in range(4):
+            self.fillers.append(socket.socket())
+            self.fillers[-1].setblocking(False)
+            self.fillers[-1].connect_ex(self.sock.getsockname())
+        self.up.set()
+        assert Event.wait(self.opened, PATIENCE)
+        super().accept()
+
+    @property
+    def opened(self):
+        return self.__dict__.setdefault("_opened", Event())
+
+    def open_up(self):
+        self.opened.set()
+
+    def close(self):
+        self.opened.set()
+        for filler in self.fillers:
+            filler.close()
+        super().close()
+
+
+def late(play=None):
+    made = Late(play)
+    assert made.up.wait(PATIENCE)
+    return made
+
+
+def test_a_client_that_goes_while_the_connection_comes_up_has_nothing_sent_even_without_cancels():
+    up = late()
+    with program(up, conf=caps(**{"may-cancel": False, "dial-timeout": 5000.0})) as (address, process, _):
+        caller = Caller(address)
+        caller.send("submit", "POST", b"x", "8000", "t1")
+        until(lambda: call(process.admin, "/api/telemetry")[1]["open_requests"])
+        caller.sock.close()
+        caller.file.close()
+        assert logged(process, "hop")["outcome"] == "CANCELLED"  # it is not left to come up
+        up.open_up()
+        assert Caller(address).ask("submit", "POST", b"y", trace="t2")[0] == 200
+        assert [up.came.get(timeout=PATIENCE)[1]["x-trace-id"] for _ in range(up.came.qsize())] == ["t2"]
+
+
+def test_an_upstream_that_begins_to_drain_while_its_connection_comes_up_gets_nothing_more():
+    up, other = late(), Upstream()
+    conf = caps(**{"dial-timeout": 5000.0})
+    with closing(other), program(up, conf=conf) as (address, process, agent):
+        caller = Caller(address)
+        caller.send("submit", "POST", b"x", "8000")
+        until(lambda: call(process.admin, "/api/telemetry")[1]["open_requests"])
+        agent.tell(2, False, entry("s-0", up, "draining"), entry("s-1", other))
+        while logged(process, "list")["version"] != 2:
+            pass
+        up.open_up()
+        assert caller.read()[0] == 200
+        assert up.came.empty() and other.came.get(timeout=PATIENCE)[1]["x-trace-id"] == "t1"
+
+
+def test_the_time_told_is_what_is_left_once_the_connection_is_up():
+    up = late()
+    with program(up, conf=caps(**{"dial-timeout": 5000.0})) as (address, process, _):
+        caller = Caller(address)
+        caller.send("submit", "POST", b"x", "8000")
+        until(lambda: call(process.admin, "/api/telemetry")[1]["open_requests"])
+        up.open_up()
+        assert caller.read()[0] == 200
+        # The first packet was dropped, and the system sends it again a second later at the soonest.
+        assert 0 < int(up.came.get(timeout=PATIENCE)[1]["x-expires-in-ms"]) <= 8000 - 900
+
+
+def test_a_second_answer_some_milliseconds_late_is_never_taken_for_the_next_ones():
+    seen = Queue()
+
+    def twice(conn, request):
+        if conn in seen.queue:  # the one before on this connection is answered once more
+            conn.sendall(answer(b"the one before"))
+        seen.put(conn)
+        conn.sendall(answer(request[2]))
+        return True
+
+    with program(Upstream(twice), conf=caps(**{"dial-timeout": 4000.0})) as (address, _, _):
+        caller = Caller(address)
+        caller.send("submit", "POST", b"one", trace="t1")
+        caller.send("submit", "POST", b"two", trace="t2")  # comes before the first is answered
+        assert [caller.read()[2] for _ in range(2)] == [b"one", b"two"]
+
+
 class Refusing(Agent):
     """Turns every watch away; `times` has when they came."""
 
