Callers' connections end in order: nothing due is reset, nothing queued lost, a leaving is seen

From the read for races, each shown by a test on real connections that fails on the code before: - A client that sent more ahead than the rings hold (16 KiB) and went was not seen to go, as its end stands behind unread bytes and reading is paused: its attempts went on, and each request behind was sent on.

--- a/dahliabend/emulator/stand_ins.py
+++ b/dahliabend/emulator/stand_ins.py
@@ -12,7 +12,8 @@
 from dahliabend.emulator.network import Listening, Network, Socket
 from dahliabend.net.transport import machine
 
-_NAMES = ("ticks", "wall", "process_id", "folder", "stream_socket", "inherited_socket", "read_file")
+_NAMES = ("ticks", "wall", "process_id", "folder", "stream_socket", "inherited_socket", "read_file",
+          "hung_up")  # fmt: skip
 
 
 class MemoryClaim:
@@ -87,6 +88,9 @@
             raise OSError(9, "bad file descriptor")
         return Socket(self.network, process, listening=listening)
 
+    def hung_up(self, sock: Socket) -> bool:
+        return sock.end.fin_seen or sock.end.reset_seen
+
     def ticks(self) -> int:
         return self.kernel.now * 1000
 
--- a/dahliabend/net/protocol/callers.py
+++ b/dahliabend/net/protocol/callers.py
@@ -18,6 +18,7 @@
 SEND = 2_500_000  # for a request to come whole, the first one counted from connecting; 3 s are owed
 PAUSE = 2_400_000  # in a body: the longest without a byte
 PACE = 48 * 1024  # bytes a second that a body comes in the mean, but for PAUSE at its start
+GLANCE = 50_000  # how often one whose reading waits is looked at: it may have gone; within 0.1 s it counts
 SLOW = 8  # of that: from that part on the connection of a request half come goes if room is needed
 
 
@@ -54,7 +55,9 @@
         self.profile = b""  # the known one that it names, until its answer has gone
         self.settle: Callable | None = None  # called then: a limit's place is given back
         self.serving = self.keep = self.last = self.served = False
+        self.lingers = False  # its sending has ended in order: all that still comes is thrown away
         self.fault = 0  # the status that ends this connection, once all before it is answered
+        self.glance: list | None = None  # when it is next looked at, while its reading is paused
         self.stalled: list | None = None  # the deadline of a request half come, or of an answer half gone
         # When it was opened, until its first answer. From the accepting on: one whose transport is not up yet
         # was closed at SIGTERM as if idle, and the request on it lost.
@@ -340,7 +343,7 @@
         self.deadlines.drop(self.stalled)
         self.stalled = None
         if self.last:
-            return self.finish() if not self.fault else self.linger()
+            return self.linger()
         self.since = 0  # not fresh any more
         self.descriptors.rest(self.number, clock())
         if self.queue or self.incoming.count or self.began or self.fault:
@@ -348,9 +351,12 @@
             self.deadlines.loop.call_soon(self.go_on)
 
     def linger(self) -> None:
-        """Closes after a request not read to its end: closed at once, what comes of it would wipe the answer
-        out before the caller has read it. The answer's deadline still runs."""
-        self.fault, self.holding, self.halted = 0, False, False
+        """Ends the sending behind the last answer, and goes once the caller has ended its own. Closed at
+        once, whatever comes from it meanwhile, or lies unread, would wipe the answer out before it is read.
+        The answer's deadline still runs, and it makes room like any that is idle."""
+        self.lingers, self.fault, self.holding, self.halted = True, 0, False, False
+        self.queue.clear()
+        self.descriptors.rest(self.number, clock())
         self.stalled = self.deadlines.at(clock() + self.patience // 4, self.shut)
         if self.transport is not None and self.transport.can_write_eof():
             self.transport.write_eof()
@@ -382,16 +388,28 @@
 
     def let_go(self, fresh_since: int) -> None:
         """Closes it between requests, but not if it is fresh: what it was opened for is on its way."""
-        if self.since < fresh_since and not self.began and self.may_go():
+        if self.since < fresh_since and not self.began and not self.lingers and self.may_go():
             self.finish()
 
     def proceed(self) -> None:
         self.deadlines.loop.call_soon(super().proceed)  # never from within a call that takes or writes
 
+    def reading_paused(self) -> None:
+        self.deadlines.drop(self.glance)
+        self.glance = self.deadlines.at(clock() + GLANCE, self.look)
+
+    def look(self) -> None:
+        """While nothing is read, its end is not seen: what it sent ahead would be sent on for nobody."""
+        if self.paused and not self.closed:
+            if self.hung_up():
+                return self.shut()
+            self.reading_paused()
+
     def lost(self) -> None:
         self.long = self.upload = self.source = None
         self.parser = None  # it holds this connection and its rings
         self.deadlines.drop(self.stalled)
+        self.deadlines.drop(self.glance)
         self.over()
         ticket, self.ticket = self.ticket, -1
         if ticket >= 0:
--- a/dahliabend/net/transport/connection.py
+++ b/dahliabend/net/transport/connection.py
@@ -38,6 +38,7 @@
     def received(self, view: memoryview) -> None: ...
     def flushed(self) -> None: ...
     def lost(self) -> None: ...
+    def reading_paused(self) -> None: ...
 
     # Reading.
 
@@ -63,17 +64,23 @@
             self.received(view)
             ring.consume(len(view))
         full = ring.count == ring.size or self.halted
-        if full != self.paused and self.transport is not None and not self.closed:
-            self.paused = full
-            (self.transport.pause_reading if full else self.transport.resume_reading)()
+        if not full and self.paused and self.transport is not None and not self.closed:
+            self.paused = False
+            self.transport.resume_reading()
+        elif full:
+            self.pause()
+
+    def pause(self) -> None:
+        if not self.paused and self.transport is not None and not self.closed:
+            self.paused = True
+            self.transport.pause_reading()
+            self.reading_paused()
 
     def halt(self) -> None:
         """Nothing more is read for now: whoever gets it is slower. An end is not seen before the bytes ahead
         of it have been handed on."""
         self.halted = True
-        if not self.paused and self.transport is not None and not self.closed:
-            self.paused = True
-            self.transport.pause_reading()
+        self.pause()
 
     def proceed(self) -> None:
         if self.halted:
@@ -149,6 +156,10 @@
         except OSError:  # nothing to come any more
             return False
 
+    def hung_up(self) -> bool:
+        """Has the peer ended it, also where that stands behind bytes not read yet?"""
+        return self.sock is not None and machine.hung_up(self.sock)
+
     def shut(self) -> None:
         """Ends it at once; the peer is told before this returns."""
         if self.closed:
--- a/dahliabend/net/transport/listener.py
+++ b/dahliabend/net/transport/listener.py
@@ -58,21 +58,27 @@
         self.deadlines.loop.remove_reader(self.sock.fileno())
         self.deadlines.at(clock() + PAUSE, self.go_on)
 
-    def come_in(self) -> None:
+    def come_in(self) -> bool:
+        """Takes some in; may more wait that there is room for?"""
         for _ in range(AT_ONCE):
             # Idle connections that kept others waiting to come in would have these miss their limits.
             if self.descriptors.full(clock()) and self.descriptors.exhausted():
-                return self.pause()
+                self.pause()
+                return False
             try:
                 sock, _ = self.sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+            except (InterruptedError, ConnectionAbortedError):
+                continue
+            except BlockingIOError:
+                return False
             except OSError:  # the system itself has no descriptor left
-                return self.pause()
+                self.pause()
+                return False
             tune(sock)
             task = self.deadlines.loop.create_task(self.start(sock, self.accepted()))
             self.starting.add(task)
             task.add_done_callback(self.starting.discard)
+        return True
 
     async def start(self, sock: socket.socket, connection: Connection) -> None:
         connection.sock = sock
@@ -88,8 +94,9 @@
         """Accepts no more. What the system has accepted by now is still taken in, but where others go on
         accepting: it is theirs. Only this copy is closed; shut down, the socket would end for all."""
         if self.sock is not None:
-            if not self.shared:
-                self.come_in()
+            # Closed with some still in the queue, what these have sent would be lost.
+            while not self.shared and self.come_in():
+                pass
             self.deadlines.loop.remove_reader(self.sock.fileno())
             self.sock.close()
             self.sock = None
--- a/dahliabend/net/transport/machine.py
+++ b/dahliabend/net/transport/machine.py
@@ -3,6 +3,7 @@
 """
 
 import os
+import select
 import socket
 from pathlib import Path
 from time import monotonic_ns, time_ns
@@ -28,6 +29,13 @@
     return socket.socket(fileno=number)
 
 
+def hung_up(sock: socket.socket) -> bool:
+    """Has the peer ended its sending, or all of it, whatever is still unread?"""
+    poll = select.poll()
+    poll.register(sock, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def read_file(path: str) -> bytes:
     """OSError where it can't be read."""
     return Path(path).read_bytes()
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -1,11 +1,13 @@
 """Races that the acceptance names, on real connections: what the peers send forces the bad order."""
 
+import signal
 import socket
 import time
-from contextlib import closing
+from contextlib import closing, suppress
 from queue import Queue
 from threading import Event
 
+import pytest
 from helpers import CONF, PATIENCE, Agent, Caller, Upstream, answer, call, entry, logged, program, until
 
 LONG = [{**profile, "service-goal": 60_000.0, "hard-limit": 60_000.0} for profile in CONF["profiles"]]
@@ -54,6 +56,25 @@
     return made
 
 
+def gone(conn, request):
+    """Answers nothing, and ends with the connection."""
+    return conn.recv(1) == b""
+
+
+def test_a_client_that_sends_much_at_once_and_goes_is_seen_to_go_behind_what_is_unread():
+    with program(up := Upstream(gone), conf={"profiles": LONG}) as (address, process, _):
+        caller = Caller(address)
+        caller.send("submit", "POST", b"x", "60000")
+        up.came.get(timeout=PATIENCE)
+        for n in range(200):  # far more than the rings hold
+            caller.send("query", body=b"y" * 400, expires="60000", trace=f"more{n}")
+        caller.sock.shutdown(socket.SHUT_RDWR)
+        assert up.ended.get(timeout=PATIENCE)  # it would go on for a minute
+        assert logged(process, "left")["tx"] == "t1"
+        assert Caller(address).ask(trace="other", expires="300")[0] == 503
+        assert up.came.get(timeout=PATIENCE)[1]["x-trace-id"] == "other"
+
+
 def test_a_client_that_goes_while_the_connection_comes_up_has_nothing_sent_even_without_cancels():
     up = late()
     with program(up, conf=caps(**{"may-cancel": False, "dial-timeout": 5000.0})) as (address, process, _):
@@ -112,6 +133,52 @@
         assert [caller.read()[2] for _ in range(2)] == [b"one", b"two"]
 
 
+def test_what_comes_behind_the_last_answer_does_not_take_it_away_nor_is_it_sent_on():
+    body, go = b"z" * 200_000, Event()
+    slow = Upstream(lambda conn, request: go.wait(PATIENCE) and conn.sendall(answer(body)) is None)
+    with program(slow, conf={"profiles": LONG}) as (address, process, _):
+
+        def written():
+            with suppress(OSError, TypeError):  # it may have ended already
+                return not call(process.admin, "/api/telemetry")[1]["open_requests"]
+            return True
+
+        caller = Caller.__new__(Caller)
+        caller.sock = socket.socket()
+        caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)  # most of the answer waits behind
+        caller.sock.connect((address.split(":")[0], int(address.split(":")[1])))
+        caller.sock.settimeout(PATIENCE)
+        caller.file = caller.sock.makefile("rb")
+        caller.send("submit", "POST", b"x", "60000")
+        slow.came.get(timeout=PATIENCE)
+        process.send_signal(signal.SIGTERM)
+        logged(process, "stopping")
+        caller.sock.sendall(b"POST /submit HTTP/1.1\r\nX-Trace-Id: t2\r\n")
+        go.set()
+        until(written)
+        caller.sock.sendall(b"X-Expires-In-Ms: 2000\r\nContent-Length: 1\r\n\r\ny")
+        assert caller.read()[2] == body and caller.sock.recv(1) == b""
+        caller.file.close()
+        caller.sock.close()
+        assert process.wait(PATIENCE) == 0 and slow.came.empty()
+
+
+def test_what_waits_in_the_systems_queue_at_sigterm_is_taken_in_and_answered():
+    with program(up := Upstream()) as (address, process, _):
+        process.send_signal(signal.SIGTERM)
+        logged(process, "stopping")
+        process.send_signal(signal.SIGSTOP)
+        callers = []
+        for n in range(100):
+            callers.append(Caller(address))
+            callers[-1].send("submit", "POST", b"x", trace=f"t{n}")
+        time.sleep(0.6)  # its time for accepting runs out meanwhile, so that the closing comes first
+        process.send_signal(signal.SIGCONT)
+        answers = [caller.read() for caller in callers]  # None, or a reset, for one that was lost
+        assert {status for status, *_ in answers} <= {200, 503}  # some are beyond the first crowd
+        assert process.wait(PATIENCE) == 0 and up.came.qsize() == [a[0] for a in answers].count(200) > 0
+
+
 class Refusing(Agent):
     """Turns every watch away; `times` has when they came."""
 
@@ -154,3 +221,13 @@
         asked = [agent.asked.get(timeout=PATIENCE) for _ in range(3)]
         assert ["after" in path for path in asked] == [False, True, False]
         until(lambda: Caller(address).ask("submit", "POST")[0] == 200 and not two.came.empty())
+
+
+@pytest.mark.parametrize("text", [b"", b'{"listen": "127.0.0.1:1", "settings": {"prof', b"{}", b"[]"])
+def test_a_file_that_is_empty_or_cut_names_itself_and_the_one_in_force_goes_on(text):
+    with program(Upstream()) as (address, process, _):
+        with open(process.path, "wb") as file:
+            file.write(text)
+        process.send_signal(signal.SIGHUP)
+        assert process.path in logged(process, "reload.refused")["why"]
+        assert Caller(address).ask("submit", "POST")[0] == 200
