Emulator: shutdown, processes that serve nobody, thirty balancers with a cold upstream, short limits

More of the acceptance's terms as checks: nothing asked on a connection that the balancer had shut is sent on; a process that turns away all (15 or more) for 4 s; cold upstreams bear N + 2 root of N + 2 mean jobs where over 16 balancers share them (fewer: no more than N, as before). New faults: clients that ask behind the balancer's end, all clients leave at once. SIGTERM is swept over every step of a request, 30 plays.

--- a/dahliabend/emulator/checks.py
+++ b/dahliabend/emulator/checks.py
@@ -13,6 +13,7 @@
 UNHEARD = 100_000  # how long a caller's leaving may take to be known
 TOLD = 6_000_000  # after discovery had a change and could be reached, it counts as told
 TOO_LONG = 150_000  # by which the time told to an upstream may be more than what its caller still waits
+ALL_AWAY, MANY = 4_000_000, 15  # a process that turns away all, so many, for so long serves nobody
 KEPT = 60_000_000  # for which an ended request is remembered
 MOST = 20  # violations kept of a run
 ARRIVING = 300_000  # a request written so much sooner than another has come first
@@ -53,6 +54,7 @@
     kind: Class
     connection: int  # the one that it was sent on
     expires: int
+    asked: int = 0  # when its first byte was written
     written: int = 0
     answered: int = 0
     status: int = 0
@@ -90,6 +92,7 @@
             tuple[str, str], int
         ] = {}  # by process and upstream: since when it must not be used
         self.banned: dict[tuple[str, str], int] = {}  # by balancer and upstream
+        self.turned_away: dict[str, tuple[int, int]] = {}  # by process: since when it sends nothing; how many
         self.could: dict[tuple[str, str], int] = {}  # the same: since when its agent says that it must not
         self.gone: dict[str, tuple[int, str]] = {}  # processes that have ended: when and how
         self.stalls: dict[str, list[tuple[int, int]]] = {}
@@ -127,10 +130,11 @@
         if request is None:
             self.counts["asked"] += 1
             self.tally[name][0] += 1
-            self.requests[trace] = Request(trace, self.classes[name], connection, expires)
+            made = Request(trace, self.classes[name], connection, expires, self.kernel.now)
+            self.requests[trace] = made
             self.open.add(trace)
         else:  # once more on a new connection: the one before was closed unread
-            request.connection, request.written = connection, 0
+            request.connection, request.asked, request.written = connection, self.kernel.now, 0
 
     def keyed(self, trace: str, key: str) -> None:
         request = self.requests[trace]
@@ -216,7 +220,13 @@
             self.close(request, "failed")
 
     def refusal(self, request: Request) -> None:
-        """Trying again has to be harmless."""
+        """Trying again has to be harmless; and a process that only refuses serves nobody."""
+        if server := self.server(request):
+            since, many = self.turned_away.get(server, (self.kernel.now, 0))
+            self.turned_away[server] = since, many + 1
+            if many >= MANY and self.kernel.now - since > ALL_AWAY:
+                self.turned_away[server] = self.kernel.now, 0
+                self.broken("serves nobody", f"{server} turned away all {many + 1} that came for 4 s")
         kind = request.kind
         if kind.semantics == "idempotent" or kind.semantics == "deduplicated" and kind.group == "all":
             return
@@ -300,6 +310,10 @@
             self.broken("after the end", f"{trace}: sent to {upstream} after its final answer")
         if request.left and first > self.leaving_came(request) + UNHEARD and not self.excused(request):
             self.broken("after the end", f"{trace}: sent to {upstream} long after its caller left")
+        near = self.connections.get(request.connection)
+        if near is not None and 0 < near.peer.closed_at < request.asked:
+            self.broken("after the shutdown", f"{trace}: sent to {upstream}, asked on what had been shut")
+        self.turned_away.pop(balancer, None)
         since = self.barred.get((balancer, upstream))
         if since is not None and first > since + self.grace + SLACK:
             self.broken(
--- a/dahliabend/emulator/faults.py
+++ b/dahliabend/emulator/faults.py
@@ -11,6 +11,7 @@
 
 BACK = 200 * MS  # from a kill until the process starts again, where the span says nothing
 CROWD = 80  # requests that come at once, times the fault's size
+BEHIND = 12  # clients that ask behind an end, times the fault's size
 FLOOD, FLOODS = 90, 8  # requests of one that sends them at once, and how many such there are
 RUDE = 150  # connections of those that say no request, times the same
 OLD_LIST = 500 * MS  # for which a list service that has moved stays at its old place
@@ -438,5 +439,21 @@
             if place is not None:
                 world.start(world.client, made.come(place))
 
+    def behind(self, fault: Fault) -> None:
+        """Some whose connections rest, and who ask once more as soon as the balancer ends its sending."""
+        world = self.world
+        chance = world.chance_of("behind")
+        for _ in range(1 + int(BEHIND * fault.size)):
+            ask, more = world.draw(chance, world.load), world.draw(chance, world.load)
+            ask.leaves_after = ask.trickle = more.trickle = 0
+            place = world.front.next()
+            if place is not None:
+                world.start(world.client, world.clients.come_behind(ask, more, place))
+
+    def leave(self, fault: Fault) -> None:
+        """All who wait go at once."""
+        clients = self.world.clients
+        self.world.client.run(lambda: [c.leave() for c in sorted(clients.waiting, key=lambda c: c.number)])
+
     def rude(self, fault: Fault):
         return self.visit(self.world.client, 1 + int(RUDE * fault.size), self.world.front.next)
--- a/dahliabend/emulator/peers/clients.py
+++ b/dahliabend/emulator/peers/clients.py
@@ -76,6 +76,7 @@
         self.loop, self.witness, self.chance, self.front = loop, witness, chance, front
         self.prefix, self.advised = prefix, advised
         self.idle: list[Calling] = []
+        self.waiting: set[Calling] = set()  # those with a request out
         self.count = 0
         self.out = 0  # requests without an end yet
         self.tasks: set[asyncio.Task] = set()
@@ -101,6 +102,15 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    async def come_behind(self, ask: Ask, more: Ask, place: tuple[str, int]) -> None:
+        """On a connection of its own, `more` as soon as the other end has ended its sending."""
+        try:
+            _, connection = await self.loop.create_connection(lambda: Behind(self, place, more), *place)
+        except OSError:
+            return
+        self.out += 1
+        connection.ask(ask)
+
     async def connect(self, ask: Ask, place: tuple[str, int]) -> None:
         try:
             coming = self.loop.create_connection(lambda: Calling(self, place), *place)
@@ -147,6 +157,7 @@
     def ask(self, ask: Ask) -> None:
         loop, clients = self.clients.loop, self.clients
         self.asked, self.sent, self.whole = ask, False, False
+        clients.waiting.add(self)
         self.used += 1
         self.fresh()
         clients.witness("asked", ask.trace, ask.name, self.number, ask.expires)
@@ -213,6 +224,7 @@
                 timer.cancel()
         self.timer = self.leaving = None
         self.last, self.asked = self.asked, None
+        self.clients.waiting.discard(self)
 
     # The answer.
 
@@ -257,11 +269,14 @@
         self.over()
         self.clients.witness("answer", ask.trace, self.status, b"".join(self.body))
         wait = round(float(self.headers.get(b"retry-after", 0)) * 1e6)
-        if keep and sent:
+        self.rest(keep and sent)
+        self.clients.retry(ask, self.status, wait)
+
+    def rest(self, keep: bool) -> None:
+        if keep:
             self.clients.idle.append(self)
         else:
             self.transport.close()
-        self.clients.retry(ask, self.status, wait)
 
     def eof_received(self) -> bool:
         return False
@@ -286,6 +301,29 @@
         self.clients.retry(ask, 0, 0)
 
 
+class Behind(Calling):
+    """Rests after its answer until the balancer ends its sending, and asks once more on what is left."""
+
+    def __init__(self, clients: Clients, place: tuple[str, int], more: Ask) -> None:
+        super().__init__(clients, place)
+        self.more: Ask | None = more
+
+    def rest(self, keep: bool) -> None: ...
+
+    def eof_received(self) -> bool:
+        more, self.more = self.more, None
+        if self.asked is not None or more is None or not self.used:
+            return False
+        self.clients.witness("asked", more.trace, more.name, self.number, more.expires)
+        self.transport.write(more.message())
+        self.clients.loop.call_later(0.05, self.go, more)
+        return True
+
+    def go(self, more: Ask) -> None:
+        self.clients.witness("left", more.trace)
+        self.transport.abort()
+
+
 class Flooding(asyncio.Protocol):
     """Sends many requests at once, reads what comes, and goes soon after without waiting for all."""
 
--- a/dahliabend/emulator/peers/upstream.py
+++ b/dahliabend/emulator/peers/upstream.py
@@ -31,6 +31,9 @@
     fall_window: int = 1_000_000
     rest: int = 2_000_000  # idle connections are closed after that
     may_probe: bool = True
+    chance: bool = (
+        False  # of many balancers: it falls beyond N + 2 root of N + 2 jobs, N being what is allowed
+    )
 
 
 class Job:
@@ -91,7 +94,11 @@
         while self.sent[0][0] <= now - spec.fall_window:
             self.pressure -= self.sent.popleft()[1]
         bears = warm * spec.cores * spec.fall_window
-        if self.pressure > spec.fall_multiple * bears and not self.fallen:
+        most = spec.fall_multiple * bears
+        if spec.chance:
+            mean = spec.work * 9 / 8
+            most += mean * (2 * (most / mean) ** 0.5 + 2)
+        if self.pressure > most and not self.fallen:
             self.fallen = self.hung = True
             if self.told():
                 self.witness("toppled", self.spec.name, self.pressure / bears)
--- a/dahliabend/emulator/script.py
+++ b/dahliabend/emulator/script.py
@@ -21,6 +21,7 @@
     "garble", "flap", "cut-zone", "reset-hop", "lose-hop", "kill", "term", "stall", "reload", "drop-class",
     "broken-file", "upgrade", "late", "silent", "end-watch", "wrong", "move", "exclude", "evacuate",
     "half-call", "crowd", "rude", "twice", "slow-dial", "withdraw", "deaf", "whole", "anew", "flood",
+    "behind", "leave",
 ]  # fmt: skip
 GROUPS = {
     "upstream": ("hang", "slow", "fail", "crash", "restart", "drain", "refuse", "mute", "vanish", "limit",
@@ -30,10 +31,10 @@
     "balancer": ("kill", "term", "stall", "reload", "drop-class", "broken-file", "upgrade"),
     "discovery": ("late", "silent", "end-watch", "wrong", "move", "deaf", "whole", "anew"),
     "operator": ("exclude", "evacuate", "half-call"),
-    "clients": ("crowd", "rude", "flood"),
+    "clients": ("crowd", "rude", "flood", "behind", "leave"),
 }  # fmt: skip
 # Those of the operators' stricter terms, drawn apart: what a seed drew before them it still draws.
-TERMS = ("twice", "slow-dial", "withdraw", "deaf", "whole", "anew", "flood")
+TERMS = ("twice", "slow-dial", "withdraw", "deaf", "whole", "anew", "flood", "behind", "leave")
 UNHEARD = ("deaf", "whole", "anew")  # each with an upstream that is withdrawn soon after, in a longer run
 GROUP_OF = {what: group for group, kinds in GROUPS.items() for what in kinds}
 EVENTS = {
@@ -79,6 +80,7 @@
     sockets: int = 256  # descriptors of a balancer
     conn_idle: Span = Span(2 * S)
     dial: Span = Span(75 * MS)  # how long a connection to an upstream may take to come up
+    repeat_window: Span = Span(1_200 * MS)  # for which a journalled one is remembered
     order_pause: Span = Span(0)  # a key's rest after a hop that may go on, where journalled ones carry keys
     shared: bool = False  # the platform holds the listener, and processes share a folder
     admin: bool = True
@@ -184,7 +186,7 @@
     """What can't be in that world is a `ValueError` that names the place."""
     world = scenario.world
     for key, least, most in (
-        ("balancers", 1, 16), ("upstreams", 1, 64), ("behind", 0, 32), ("zones", 1, 4), ("cores", 1, 64),
+        ("balancers", 1, 32), ("upstreams", 1, 64), ("behind", 0, 32), ("zones", 1, 4), ("cores", 1, 64),
         ("slots", 1, 256), ("queue", 0, 1024), ("hops", 1, 16), ("sockets", 64, 65536),
     ):  # fmt: skip
         if not least <= getattr(world, key) <= most:
@@ -271,10 +273,24 @@
         load.keys, load.marked = order.choice((1, 3, 8)), 0.4
     made = Scenario(seed=seed, world=world, load=load, faults=[f for each in faults for f in each])
     _terms(Random(f"terms {seed}"), made, kinds)
+    _sizes(Random(f"sizes {seed}"), made)
     check(made)
     return made
 
 
+def _sizes(chance: Random, made: Scenario) -> None:
+    """To some seeds other settings, or many balancers with a cold upstream under a burst; drawn apart too."""
+    world, load, what = made.world, made.load, chance.random()
+    if what < 0.15:
+        world.limit, world.goal = Span(700 * MS), Span(300 * MS)
+        world.repeat_window = Span(chance.choice((150, 400)) * MS)
+    elif what < 0.18 and not world.behind and not world.shared:
+        world.balancers = chance.randint(20, 30)
+        load.requests, load.burst = 3 * load.requests, 0.3
+        at = Span(chance.randrange(600, 1_400) * MS)
+        made.faults.append(Fault("crash", whom=chance.randrange(world.upstreams), at=at, span=Span(300 * MS)))
+
+
 def _terms(chance: Random, made: Scenario, kinds: tuple[str, ...]) -> None:
     """To a third of the seeds, or where they are asked for, a fault that the stricter terms name."""
     possible = [what for what in TERMS if what in kinds] if kinds else TERMS
@@ -290,6 +306,8 @@
         world.may_cancel = world.may_cancel and chance.random() < 0.5
         made.faults[-1].at = Span(chance.randrange(200) * MS)  # most connections come up in the first seconds
         made.faults.append(Fault("reset", whom=whom, at=Span(at + S // 2)))
+    if what == "behind":  # the balancers end their connections meanwhile
+        made.faults.append(Fault("term", whom=chance.randrange(world.balancers), at=Span(at + S // 5)))
     if what in UNHEARD:
         soon = Span(at + chance.randrange(50, 900) * MS)
         made.faults.append(Fault("withdraw", whom=chance.randrange(world.upstreams), at=soon))
--- a/tests/emulator/test_sweep.py
+++ b/tests/emulator/test_sweep.py
@@ -137,6 +137,19 @@
     assert runs <= 1 or name != "submit"
 
 
+@pytest.mark.parametrize("after", [0, 1, 300])
+@pytest.mark.parametrize("on", ["hop.head", "hop.whole", "begun", "made", "answer"])
+@pytest.mark.parametrize("name", ["query", "submit"])
+def test_sigterm_at_every_step_of_a_request(on, name, after):
+    """Both balancers, at the same step of different requests, with clients that ask behind the end."""
+    terms = [Fault("term", whom=n, on=on, name=name, nth=9 + 8 * n, after=Span(after)) for n in (0, 1)]
+    behind = Fault("behind", at=Span(200 * MS), size=1.0)
+    result = play(scenario(behind, *terms, load={"fresh": 0.3, "trickle": 0.1}))
+    ended = [line[0] for line in result.lines if line[1] == "ended" and line[2] in ("b0/1", "b1/1")]
+    assert not result.violations, [str(violation) for violation in result.violations]
+    assert len(ended) == 2 and result.counts["served"] > 50
+
+
 def test_a_balancer_killed_and_started_again_under_load():
     result = play(scenario(Fault("kill", at=Span(1_500 * MS)), load={"requests": 300}))
     assert not result.violations and ("starts", "b0/2") in {line[1:3] for line in result.lines}
