--- a/experiments/fleets.py
+++ b/experiments/fleets.py
@@ -69,13 +69,17 @@
 
 
 def large(out: Path, jobs: int) -> None:
-    """Longest cells first; the page is written anew with each that is done."""
+    """The longest first; the page is written anew with each cell that is done, and those done are not run again."""
+    kept = out / "members-large.json"
+    rows = json.loads(kept.read_text()) if kept.exists() else []
+    done = {(row["count"], row["loss"], row["stops"], row["way"]): row for row in rows}
     runs = [(way, n, 0, loss, stops, seconds) for n, seconds in LARGE.items() for loss in reversed(LOSSES) for way in WAYS
             for stops in (False, True) if n <= 500 or way == "as it is" and stops and loss in (0.1, 0.3)]  # fmt: skip
-    done: dict[tuple, dict] = {}
+    runs = [run for run in runs if (run[1], run[3], run[4], run[0]) not in done]
     with Pool(jobs) as pool:
         for row in pool.imap_unordered(falsely, runs):
             done[row["count"], row["loss"], row["stops"], row["way"]] = row
+            kept.write_text(json.dumps(list(done.values()), indent=1) + "\n")
             text = ["# False deaths in large fleets", "", "Made by `experiments/fleets.py --large` on the modelled network; period 1 s, one seed a cell. All figures simulated.", "",
                     "| instances | datagrams lost | one stops 3 s in 20 | way | instance-hours | false deaths | bytes a second an instance |",
                     "| --- | --- | --- | --- | --- | --- | --- |"]  # fmt: skip
