--- a/dahliabend/net/routing/probes.py
+++ b/dahliabend/net/routing/probes.py
@@ -5,10 +5,10 @@
 from dahliabend.model import Outcome
 from dahliabend.net.protocol import loads
 from dahliabend.net.protocol.headers import HEALTHY, LOAD_PATH
-from dahliabend.net.routing.upstreams import Errand, Upstream
+from dahliabend.net.routing.upstreams import Exchange, Upstream
 
 
-class Probe(Errand):
+class Probe(Exchange):
     """Either path is a probe; the one with a load report tells the log more."""
 
     def __init__(self, upstream: Upstream, fields: tuple[str, ...], timeout: int, told: Callable) -> None:
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -9,7 +9,7 @@
 from dahliabend.net.protocol.discovery import Discovery
 from dahliabend.net.protocol.headers import EXPIRES, TRACE
 from dahliabend.net.routing.probes import Probe
-from dahliabend.net.routing.upstreams import MOST_ONCE, Errand, Upstream, Yard
+from dahliabend.net.routing.upstreams import MOST_ONCE, Exchange, Upstream, Yard
 from dahliabend.net.transport.deadlines import Deadlines, clock
 from dahliabend.net.transport.slots import Slots
 
@@ -49,7 +49,7 @@
                 hop.unsend()
 
 
-class Hop(Errand):
+class Hop(Exchange):
     """One sending of a transaction."""
 
     def __init__(self, router: "Router", ticket: Ticket, upstream, timeout: int) -> None:
--- a/dahliabend/net/routing/upstreams.py
+++ b/dahliabend/net/routing/upstreams.py
@@ -23,7 +23,7 @@
     OVER = 3  # its outcome is settled
 
 
-class Errand:
+class Exchange:
     """Something asked of an upstream, with its own deadline. `ended` is called once, never from `start`."""
 
     upload = None  # a body that still comes
--- a/tests/emulator/defects.py
+++ b/tests/emulator/defects.py
@@ -22,7 +22,7 @@
 from dahliabend.net.protocol.discovery import Book
 from dahliabend.net.protocol.upstreams import Link
 from dahliabend.net.routing.router import Hop, Router
-from dahliabend.net.routing.upstreams import Errand, Phase, Yard
+from dahliabend.net.routing.upstreams import Exchange, Phase, Yard
 from dahliabend.net.transport.deadlines import clock
 from dahliabend.net.transport.descriptors import Descriptors
 from dahliabend.net.transport.listener import Listener
@@ -102,7 +102,7 @@
         self.upstream.yard.deadlines.drop(self.deadline)
         self.upstream.yard.deadlines.at(clock() + 3600 * S, int)
 
-    return instead(Errand, "settle", settle)
+    return instead(Exchange, "settle", settle)
 
 
 def keep_a_task():
@@ -137,7 +137,7 @@
             self.dialing.cancel()
         self.end_soon(outcome if written or outcome is Outcome.CANCELLED else Outcome.UNREACHABLE)
 
-    return instead(Errand, "give_up", give_up)
+    return instead(Exchange, "give_up", give_up)
 
 
 @contextmanager
@@ -211,7 +211,7 @@
 
 
 def dial_for_ever():
-    real = Errand.connect
+    real = Exchange.connect
 
     async def connect(self, yard, link):
         before, yard.dial_time = yard.dial_time, 3600 * S
@@ -221,7 +221,7 @@
         finally:
             yard.dial_time = before
 
-    return instead(Errand, "connect", connect)
+    return instead(Exchange, "connect", connect)
 
 
 @contextmanager
@@ -264,7 +264,7 @@
 @contextmanager
 def send_for_those_who_have_gone():
     """What waits for its connection goes out on it, whoever waits for it still."""
-    with instead(Hop, "awaited", lambda self: True), instead(Errand, "unsend", lambda self: None):
+    with instead(Hop, "awaited", lambda self: True), instead(Exchange, "unsend", lambda self: None):
         yield
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -15,7 +15,7 @@
 from dahliabend.net.protocol.discovery import Book, Discovery
 from dahliabend.net.protocol.upstreams import Link
 from dahliabend.net.routing.router import Router, Seat, Ticket
-from dahliabend.net.routing.upstreams import Errand, Yard
+from dahliabend.net.routing.upstreams import Exchange, Yard
 from dahliabend.net.transport.connection import RING, Connection
 from dahliabend.net.transport.deadlines import Deadlines, clock
 from dahliabend.net.transport.descriptors import Descriptors
@@ -75,7 +75,7 @@
     return Yard(deadlines, Descriptors(limit), 75 * MS, 4 * S, Notes().append)
 
 
-class Asked(Errand):
+class Asked(Exchange):
     def ended(self, outcome, took, answer):
         self.outcome = outcome
 
@@ -89,9 +89,9 @@
     Pipe(link, takes)
     upstream.free(link)
     upstream.yard.descriptors.rest(link.number, clock() - upstream.yard.settle)  # no second answer came
-    errand = kind(upstream, b"x" * (length // 2), b"y" * (length - length // 2), S)
-    errand.start()
-    return errand, link
+    exchange = kind(upstream, b"x" * (length // 2), b"y" * (length - length // 2), S)
+    exchange.start()
+    return exchange, link
 
 
 def test_a_break_tells_whether_the_request_was_written_whole():
@@ -99,16 +99,16 @@
         (9, 99, Outcome.RESET), (9, 8, Outcome.UNREACHABLE), (3 * RING, 2 * RING, Outcome.UNREACHABLE),
         (3 * RING, 9 * RING, Outcome.RESET),
     ):  # fmt: skip
-        errand, link = asked(takes, length)
+        exchange, link = asked(takes, length)
         link.connection_lost(None)
-        assert errand.outcome is outcome
+        assert exchange.outcome is outcome
 
 
 def test_a_time_out_ends_the_connection_before_it_is_told():
     for takes, outcome in ((99, Outcome.TIMED_OUT), (8, Outcome.UNREACHABLE)):
-        errand, link = asked(takes)
-        errand.timed_out()
-        assert link.closed and link.transport.ended and errand.outcome is outcome
+        exchange, link = asked(takes)
+        exchange.timed_out()
+        assert link.closed and link.transport.ended and exchange.outcome is outcome
 
 
 def test_a_blocked_ring_goes_on_where_it_stopped():
@@ -127,14 +127,14 @@
         (ONE + ONE, False),
         (ONE.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"), False),
     ):
-        errand, link = asked()
+        exchange, link = asked()
         feed(link, raw)
-        assert errand.outcome is Outcome.COMMITTED and link.closed is not kept
-    errand, link = asked()
+        assert exchange.outcome is Outcome.COMMITTED and link.closed is not kept
+    exchange, link = asked()
     feed(link, b"HTTP/1.1 100 Continue\r\n\r\n" + ONE)
-    assert errand.outcome is Outcome.COMMITTED and not link.closed
+    assert exchange.outcome is Outcome.COMMITTED and not link.closed
     feed(link, b"H")
-    assert link.closed and errand.upstream.rested(clock() + SETTLED)[0] is None
+    assert link.closed and exchange.upstream.rested(clock() + SETTLED)[0] is None
 
 
 ONE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -150,21 +150,21 @@
     for raw, kept in (
         (ONE + ONE, False), (ONE + ONE[:20], False), (ONE + b"\x00 noise", False), (early * 2 + ONE, True),
     ):  # fmt: skip
-        errand, link = asked(kind=Heard)
+        exchange, link = asked(kind=Heard)
         feed(link, raw)
-        assert (errand.outcome, errand.body) == (Outcome.COMMITTED, b"ok") and link.closed is not kept
+        assert (exchange.outcome, exchange.body) == (Outcome.COMMITTED, b"ok") and link.closed is not kept
 
 
 def test_bytes_that_nobody_asked_for_are_never_taken_for_the_next_answer():
     for late in (b"H", None):  # they come, or the connection ends, before the loop reads either
-        errand, link = asked()
+        exchange, link = asked()
         feed(link, ONE)
         near, far = socket.socketpair()
         with closing(near), closing(far):
             near.setblocking(False)
             link.sock = near
             far.send(late) if late else far.close()
-            assert errand.upstream.rested(clock() + SETTLED)[0] is None and link.closed
+            assert exchange.upstream.rested(clock() + SETTLED)[0] is None and link.closed
 
 
 def test_an_answer_that_cannot_be_read_fails_its_hop_at_once():
@@ -175,19 +175,19 @@
         head + b"Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n", ONE.replace(b"2\r", b"-2\r"),
         head + b"Transfer-Encoding: chunked\r\n\r\n2;" + b"x" * 3 * 8192,
     ):  # fmt: skip
-        errand, link = asked()
+        exchange, link = asked()
         feed(link, raw)
-        assert errand.outcome is Outcome.RESET and link.closed  # it may have run
+        assert exchange.outcome is Outcome.RESET and link.closed  # it may have run
 
 
 def test_a_reused_slot_takes_no_old_event():
-    errand, link = asked()
+    exchange, link = asked()
     old = link.number
     feed(link, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
-    errand.upstream.close_idle(clock())
+    exchange.upstream.close_idle(clock())
     link.connection_lost(None)
-    table = errand.upstream.yard.descriptors
-    new = Link(table, errand.upstream)
+    table = exchange.upstream.yard.descriptors
+    new = Link(table, exchange.upstream)
     table.give_back(old)
     assert table.connections.get(new.number) is new and new.number != old
 
@@ -255,9 +255,9 @@
     upstream = yard(limit=26).find("s-1")
     for _ in range(10):
         Connection(upstream.yard.descriptors)
-    errand = Asked(upstream, b"x", b"", S)
-    errand.start()
-    assert errand.outcome is Outcome.MOOT
+    exchange = Asked(upstream, b"x", b"", S)
+    exchange.start()
+    assert exchange.outcome is Outcome.MOOT
 
 
 def test_idle_callers_make_room_but_none_that_has_a_request_unread():
