--- a/tests/emulator/test_checks.py
+++ b/tests/emulator/test_checks.py
@@ -26,7 +26,13 @@
         self.rules = Rules(self.kernel, self.witness, CLASSES, GRACE)
         self.rules.places = {"s-0": (0, "a"), "s-1": (1, "a"), "s-2": (0, "b")}
         process = SimpleNamespace(name="b0/1")
-        far = SimpleNamespace(sock=SimpleNamespace(process=process), local=("b", 1), reset_seen=False)
+        far = SimpleNamespace(
+            sock=SimpleNamespace(process=process),
+            local=("b", 1),
+            reset_seen=False,
+            closed_at=0,
+            end_came_at=0,
+        )
         for number in range(1, 10):
             self.rules.connections[number] = SimpleNamespace(
                 peer=far, closed_at=0, reset_seen=False, fin_seen=False, gone=False
