--- a/dahliabend/emulator/remains.py
+++ b/dahliabend/emulator/remains.py
@@ -61,8 +61,8 @@
         want(not closed, f"{closed} closed connections keep their slots")
         bytes_left = sum(c.backlog + c.incoming.count for c in tables)
         want(not bytes_left, f"{bytes_left} bytes in buffers of connections at rest")
-        resting = sum(len(u.resting) for u in router.yard.upstreams.values())
-        links = sum(len(u.links) for u in router.yard.upstreams.values())
+        resting = sum(len(u.resting) for u in router.table.upstreams.values())
+        links = sum(len(u.links) for u in router.table.upstreams.values())
         want(links <= resting + SPARE, f"{links} connections to upstreams, {resting} at rest")
         for listener in (program.listener, program.door_listener):
             want(not listener.starting, f"{len(listener.starting)} connections that never came up")
--- a/dahliabend/net/program/fleet.py
+++ b/dahliabend/net/program/fleet.py
@@ -144,7 +144,7 @@
         view, settled = self.view(), self.settled()
         members = {m.name for m in view.members if m.state != "unreached"}
         for pool, router in self.pools():
-            balancer, places = router.balancer, router.yard.upstreams
+            balancer, places = router.balancer, router.table.upstreams
             indices = {places[u.index].name: u.index for u in balancer.ready if not u.aside}
 
             def told(name: str, tried: int, bad: int, balancer=balancer, indices=indices) -> None:
--- a/dahliabend/net/program/narrowed.py
+++ b/dahliabend/net/program/narrowed.py
@@ -50,7 +50,7 @@
                 self.rows.pop(row[0], None)
             else:
                 self.rows[row[0]] = row
-                self.router.yard.remember(row[0])  # an operator may take it out before it is in use
+                self.router.table.remember(row[0])  # an operator may take it out before it is in use
         self.keeper.lists(
             clock(), [Party(name, row[6], row[4]) for name, row in self.rows.items() if row[2] is State.READY]
         )
@@ -84,7 +84,7 @@
 
     def tell(self) -> None:
         """One that leaves the subset is as gone to the decisions: nothing new, what is out ends there."""
-        known = self.router.yard.indices
+        known = self.router.table.indices
         rows = []
         for name, row in self.rows.items():
             weight = self.now.weights.get(name)
--- a/dahliabend/net/program/probing.py
+++ b/dahliabend/net/program/probing.py
@@ -29,7 +29,7 @@
         self.places = {
             named(pool, upstream): (router, upstream)
             for pool, router in pools
-            for upstream in router.yard.upstreams.values()
+            for upstream in router.table.upstreams.values()
             if upstream.state is State.READY
         }
         zones = {duty: upstream.zone for duty, (_, upstream) in self.places.items()}
--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -15,7 +15,7 @@
 from dahliabend.net.protocol.discovery import Book, Discovery
 from dahliabend.net.protocol.operators import Operator
 from dahliabend.net.routing.router import Router
-from dahliabend.net.routing.upstreams import Yard
+from dahliabend.net.routing.upstreams import UpstreamTable
 from dahliabend.net.transport.deadlines import Deadlines, clock
 from dahliabend.net.transport.descriptors import DOOR, OTHERS, Descriptors
 from dahliabend.net.transport.listener import Listener
@@ -41,8 +41,8 @@
         self.deadlines = Deadlines(loop)
         self.descriptors = Descriptors(node.sockets - (DOOR if node.admin else 0))
         self.figures = Figures()
-        yard = Yard(self.deadlines, self.descriptors, node.dial_time, node.rest, log.debug)
-        self.router = Router(node, self.deadlines, yard, self.figures, log)
+        table = UpstreamTable(self.deadlines, self.descriptors, node.dial_time, node.rest, log.debug)
+        self.router = Router(node, self.deadlines, table, self.figures, log)
         self.book = book = Book(self.router, log)
         self.discovery = self.router.discovery = Discovery(
             node.discovery, book, self.deadlines, self.descriptors, node.dial_time,
@@ -60,7 +60,7 @@
         self.tell_unmet(node.unmet)
         if node.known:
             book.read(node.known, first=True)
-        yard.sweep()
+        table.sweep()
 
     async def start(self) -> None:
         """Until callers are taken."""
@@ -120,14 +120,14 @@
     def go_on_from(self, state: dict) -> None:
         self.router.epoch = state["epoch"]  # else the same start would look like another one
         for name in state["once"]:
-            self.router.yard.remember(name)
+            self.router.table.remember(name)
         for name, when in state["returned"].items():
-            self.router.yard.find(name).returned = when
+            self.router.table.find(name).returned = when
         self.book.read(state["list"], first=True)
         kept = self.router.follow(state)
         self.discovery.move(tuple(state["discovery"]))
         self.discovery.tried = True  # it has been asked already, by the one before
-        self.log("followed", kept=kept, upstreams=len(self.router.yard.upstreams))
+        self.log("followed", kept=kept, upstreams=len(self.router.table.upstreams))
 
     def look_around(self, again: bool = True) -> None:
         """Who else is there, and what has an operator told the other?"""
@@ -144,7 +144,7 @@
         self.router.balancer.beside = sum(living.values())
         excluded = self.handover.excluded()
         for name in sorted(excluded ^ self.router.excluded):
-            self.router.yard.remember(name)
+            self.router.table.remember(name)
             self.router.exclude(name, name in excluded)
         if again and newer:
             self.handover.hand(newer[-1], self.state)
@@ -211,7 +211,7 @@
             "figures", counts=self.router.counts, held=len(self.router.tickets),
             connections=len(self.descriptors.connections), out=balancer.out, crowd=round(balancer.ceiling, 1),
             tier=round(balancer.tier.metric, 2), ready=len(balancer.ready), using=len(balancer.using),
-            aside=[self.router.yard.upstreams[u.index].name for u in balancer.ready if u.aside],
+            aside=[self.router.table.upstreams[u.index].name for u in balancer.ready if u.aside],
         )  # fmt: skip
         self.deadlines.at(clock() + BEAT, self.beat)
 
@@ -236,11 +236,11 @@
         """Other settings, without a moment in which nobody serves."""
         # Callers that connected before wait as long as either settings allow.
         self.patience, self.terms = max(self.patience, *node.longest), node.terms
-        yard = self.router.yard
-        yard.dial_time, yard.rest = node.dial_time, node.rest
+        table = self.router.table
+        table.dial_time, table.rest = node.dial_time, node.rest
         held = len(self.router.tickets)
         kept = self.router.switch(node)
-        self.log("switched", held=held, kept=kept, afresh=len(yard.upstreams) - kept)
+        self.log("switched", held=held, kept=kept, afresh=len(table.upstreams) - kept)
         self.tell_unmet(node.unmet)
 
     def tell_unmet(self, unmet: tuple[str, ...]) -> None:
--- a/dahliabend/net/program/service.py
+++ b/dahliabend/net/program/service.py
@@ -19,7 +19,7 @@
 from dahliabend.net.protocol.headers import MOST
 from dahliabend.net.routing.desk import Desk, Pool
 from dahliabend.net.routing.router import Router
-from dahliabend.net.routing.upstreams import Yard
+from dahliabend.net.routing.upstreams import UpstreamTable
 from dahliabend.net.transport import machine
 from dahliabend.net.transport.deadlines import Deadlines, clock
 from dahliabend.net.transport.descriptors import DOOR, OTHERS, Descriptors
@@ -233,7 +233,7 @@
             if running is None:
                 running = self.open_pool(name, node)
             else:
-                running.router.yard.dial_time, running.router.yard.rest = node.dial_time, node.rest
+                running.router.table.dial_time, running.router.table.rest = node.dial_time, node.rest
                 running.router.switch(node)
             running.router.access = file.log.access
             running.router.route_names = [file.routes[number].name for number in profiles[name]]
@@ -253,9 +253,9 @@
 
     def open_pool(self, name: str, node: Node) -> Pool:
         log = self.log.bind(pool=name) if isinstance(self.log, Structured) else self.log
-        yard = Yard(self.deadlines, self.descriptors, node.dial_time, node.rest, log.debug)
-        router = Router(node, self.deadlines, yard, self.figures, log)
-        yard.sweep()
+        table = UpstreamTable(self.deadlines, self.descriptors, node.dial_time, node.rest, log.debug)
+        router = Router(node, self.deadlines, table, self.figures, log)
+        table.sweep()
         if self.fleet is not None and self.fleet.gossip is not None:
             router.tells = partial(self.fleet.saw, name)
             if self.fleet.probing is not None:
@@ -295,7 +295,7 @@
                 return before.move(address(pool.discovery))
             book = Book(reader, self.log)
             keeper = Discovery(
-                address(pool.discovery), book, self.deadlines, self.descriptors, router.yard.dial_time,
+                address(pool.discovery), book, self.deadlines, self.descriptors, router.table.dial_time,
                 router.balancer.chance, self.log,
             )  # fmt: skip
             self.deadlines.loop.call_soon(keeper.open)
@@ -382,8 +382,8 @@
     def beat(self) -> None:
         for pool in self.desk.clear():
             pool.stop()
-            for upstream in tuple(pool.router.yard.upstreams):
-                pool.router.yard.forget(upstream)
+            for upstream in tuple(pool.router.table.upstreams):
+                pool.router.table.forget(upstream)
             self.log("pool.gone", pool=pool.name)
         for pool in self.desk:
             balancer = pool.router.balancer
--- a/dahliabend/net/protocol/upstreams.py
+++ b/dahliabend/net/protocol/upstreams.py
@@ -22,7 +22,7 @@
 
 
 class Pool(Protocol):
-    yard: object  # whose deadlines know the loop
+    table: object  # whose deadlines know the loop
 
     def free(self, link: "Link") -> None: ...
     def gone(self, link: "Link") -> None: ...
@@ -56,7 +56,7 @@
             upload.flow(self)
 
     def proceed(self) -> None:
-        self.pool.yard.deadlines.loop.call_soon(super().proceed)  # never from within a call that writes
+        self.pool.table.deadlines.loop.call_soon(super().proceed)  # never from within a call that writes
 
     def sent(self, last: bytes) -> None:
         """The whole body has been handed over."""
--- a/dahliabend/net/routing/desk.py
+++ b/dahliabend/net/routing/desk.py
@@ -99,7 +99,7 @@
         made = self.pools[self.next] = self.names[name] = Pool(name, self.next, router)
         self.next += 1
         for upstream in self.excluded:
-            router.yard.remember(upstream)
+            router.table.remember(upstream)
             router.exclude(upstream, True)
         return made
 
--- a/dahliabend/net/routing/probes.py
+++ b/dahliabend/net/routing/probes.py
@@ -21,7 +21,7 @@
 
     def ended(self, outcome: Outcome, took: int, answer: tuple | None) -> None:
         load = loads.read(answer[1] or answer[2], self.fields) if answer else {}
-        self.upstream.yard.log(
+        self.upstream.table.log(
             "probe", upstream=self.upstream.name, outcome=outcome.name, ms=took // 1000, load=load
         )
         self.told(self.upstream.index, outcome)
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -9,7 +9,7 @@
 from dahliabend.net.protocol.discovery import Discovery
 from dahliabend.net.protocol.headers import EXPIRES, TRACE
 from dahliabend.net.routing.probes import Probe
-from dahliabend.net.routing.upstreams import MOST_ONCE, Exchange, Upstream, Yard
+from dahliabend.net.routing.upstreams import MOST_ONCE, Exchange, Upstream, UpstreamTable
 from dahliabend.net.transport.deadlines import Deadlines, clock
 from dahliabend.net.transport.slots import Slots
 
@@ -79,7 +79,7 @@
     def start(self) -> None:
         super().start()
         if self.upload is not None and not self.over and self.until > self.sent + self.ticket.expires:
-            self.upstream.yard.deadlines.drop(self.deadline)
+            self.upstream.table.deadlines.drop(self.deadline)
             self.look_again(self.sent + self.ticket.expires)
 
     def written(self) -> None:
@@ -87,13 +87,13 @@
         self.router.figures.relayed(ticket.name)
         after = ticket.seat.balancer.profiles[ticket.profile].second_after
         if after and not self.order and ticket.upload is None:
-            self.late = self.upstream.yard.deadlines.at(self.sent + after, self.slow)
+            self.late = self.upstream.table.deadlines.at(self.sent + after, self.slow)
         if ticket.upload is not None and ticket.handle.coming:
             # Until now nothing could run there: what the caller took to send counts against nobody.
             wait = ticket.handle.arrived(self.moved, ticket.upload.ended_at + ticket.expires)
             self.sent, self.until = self.moved, self.moved + wait
-            self.upstream.yard.deadlines.drop(self.deadline)
-            self.deadline = self.upstream.yard.deadlines.at(self.until, self.timed_out)
+            self.upstream.table.deadlines.drop(self.deadline)
+            self.deadline = self.upstream.table.deadlines.at(self.until, self.timed_out)
 
     def timed_out(self) -> None:
         """A body that comes, or an answer that has begun, ends only once nothing moves for long."""
@@ -114,11 +114,11 @@
             super().timed_out()
 
     def look_again(self, when: int) -> None:
-        self.deadline = self.upstream.yard.deadlines.at(when, self.timed_out)
+        self.deadline = self.upstream.table.deadlines.at(when, self.timed_out)
 
     def coming(self) -> None:
         # It may be a long one: held back for 2 s, it would be lost.
-        self.hurry = self.upstream.yard.deadlines.at(clock() + HURRY, self.link.begin)
+        self.hurry = self.upstream.table.deadlines.at(clock() + HURRY, self.link.begin)
 
     def began(self, passed: bytes, length: int | None) -> None:
         ticket = self.ticket
@@ -128,7 +128,7 @@
         ticket.close(by=self)
         ticket.handle.begun(self.moved, self.order)
         ticket.caller.begin(passed, length, self.link)
-        self.upstream.yard.deadlines.drop(self.deadline)
+        self.upstream.table.deadlines.drop(self.deadline)
         self.timed_out()
 
     def part(self, part: bytes) -> None:
@@ -137,8 +137,8 @@
 
     def settle(self) -> None:
         super().settle()
-        self.upstream.yard.deadlines.drop(self.hurry)
-        self.upstream.yard.deadlines.drop(self.late)
+        self.upstream.table.deadlines.drop(self.hurry)
+        self.upstream.table.deadlines.drop(self.late)
 
     def ended(self, outcome: Outcome, took: int, answer: tuple | None) -> None:
         self.router.hop_ended(self, outcome, took, answer)
@@ -165,7 +165,7 @@
         self.balancer.listed(clock(), rows, full)
 
     def probe(self, upstream: int) -> None:
-        known = self.router.yard.upstreams[upstream]
+        known = self.router.table.upstreams[upstream]
         if self.router.shares is None or not self.router.shares(known, self):
             self.sound(known, self.probed)
 
@@ -189,8 +189,10 @@
 class Router:
     methods = frozenset((b"GET", b"POST"))
 
-    def __init__(self, node: Node, deadlines: Deadlines, yard: Yard, figures, log: Callable) -> None:
-        self.deadlines, self.yard, self.figures, self.log = deadlines, yard, figures, log
+    def __init__(
+        self, node: Node, deadlines: Deadlines, table: UpstreamTable, figures, log: Callable
+    ) -> None:
+        self.deadlines, self.table, self.figures, self.log = deadlines, table, figures, log
         self.counted = figures.answered
         self.evacuated = False  # an operator has sent the callers elsewhere
         self.excluded: set[str] = set()  # upstreams that an operator has taken out, by id
@@ -223,7 +225,7 @@
         before, profiles = self.balancer, self.profiles
         self.seats = [seat for seat in self.seats if seat.held]
         self.seat(node)
-        self.seats[-1].listed([(u, u.state) for u in self.yard.upstreams.values()], full=True)
+        self.seats[-1].listed([(u, u.state) for u in self.table.upstreams.values()], full=True)
         # Else one of a key could be sent beside another that the ones before still have out.
         self.balancer.lines.follow(before.lines)
         return self.balancer.follow(before.known(ends=True), self.pairs(profiles))
@@ -233,18 +235,18 @@
 
     def known(self) -> dict:
         """What a successor in another process goes on from, upstreams and profiles by name."""
-        known, upstreams = self.balancer.known(ends=False), self.yard.upstreams
+        known, upstreams = self.balancer.known(ends=False), self.table.upstreams
         known["upstreams"] = {upstreams[i].name: values for i, values in known["upstreams"].items()}
         return known | {
             "epoch": self.epoch,
             "profiles": {name.decode("latin-1"): number for name, number in self.profiles.items()},
             "returned": {u.name: u.returned for u in upstreams.values() if u.returned},
-            "once": list(self.yard.once),
+            "once": list(self.table.once),
         }
 
     def follow(self, known: dict) -> int:
         """Goes on from that; of how many upstreams what is known holds on."""
-        indices = self.yard.indices
+        indices = self.table.indices
         upstreams = {indices[name]: values for name, values in known["upstreams"].items() if name in indices}
         profiles = {name.encode("latin-1"): number for name, number in known["profiles"].items()}
         return self.balancer.follow({**known, "upstreams": upstreams}, self.pairs(profiles))
@@ -259,7 +261,7 @@
             {"id": u.name, "addr": f"{u.address[0]}:{u.address[1]}", "zone": u.zone, "cell": u.cell,
              "weight": u.weight, "state": "up" if u.state is State.READY else "draining",
              "started_ms": (u.born - self.epoch) // 1000 if u.born else 0}
-            for u in self.yard.upstreams.values()
+            for u in self.table.upstreams.values()
         ]  # fmt: skip
 
     # What callers and the list bring.
@@ -344,14 +346,14 @@
     def shown(self) -> dict:
         """Of the list: how many upstreams it has, and how many of them nothing is sent to now."""
         aside = sum(u.aside or u.state is not State.READY for u in self.balancer.upstreams.values())
-        return {"registry_entries": len(self.yard.upstreams), "out_of_rotation": aside}
+        return {"registry_entries": len(self.table.upstreams), "out_of_rotation": aside}
 
     def listed(self, rows: list[tuple], full: bool) -> None:
         told = []
         for name, address, state, started, weight, cell, zone in rows:
-            if state is State.GONE and name not in self.yard.indices:
+            if state is State.GONE and name not in self.table.indices:
                 continue
-            upstream = self.yard.find(name)
+            upstream = self.table.find(name)
             if not (state is State.GONE and self.balancer.drain_alone and upstream.state is State.READY):
                 upstream.state = state
             upstream.weight, upstream.cell, upstream.zone = weight, cell, zone
@@ -362,10 +364,10 @@
             told.append((upstream, state))
         for seat in self.seats:  # also those that only end what they have: a drain holds for their hops too
             seat.listed(told, full)
-        for index in tuple(self.yard.upstreams):
+        for index in tuple(self.table.upstreams):
             # Where only draining binds, the decisions keep some that the list has lost, to be sent to.
             if not any(index in seat.balancer.upstreams for seat in self.seats):
-                self.yard.forget(index)
+                self.table.forget(index)
 
     def admit(self, upstream: Upstream) -> None:
         """May connections rest there?"""
@@ -376,13 +378,13 @@
 
     def exclude(self, name: str, out: bool) -> bool:
         """Takes an upstream out, or puts it back, whatever the list says meanwhile. False: never listed."""
-        if name not in self.yard.once and name not in self.excluded:
+        if name not in self.table.once and name not in self.excluded:
             return False
         if out is not (name in self.excluded):
             if len(self.excluded) >= MOST_ONCE and out:
                 return False  # more than were ever listed at once: a script has gone wild
             (self.excluded.add if out else self.excluded.discard)(name)
-            upstream = self.yard.upstreams.get(self.yard.indices.get(name, -1))
+            upstream = self.table.upstreams.get(self.table.indices.get(name, -1))
             if upstream is not None:
                 # The list may not know yet that it was started again meanwhile: taken for warm, all
                 # balancers would push it over.
@@ -400,7 +402,7 @@
 
     def send(self, ref: int, upstream: int, timeout: int) -> None:
         ticket = self.tickets.get(ref)
-        hop = Hop(self, ticket, self.yard.upstreams[upstream], timeout)
+        hop = Hop(self, ticket, self.table.upstreams[upstream], timeout)
         ticket.hops.append(hop)
         if self.stop_at and clock() >= self.stop_at:
             hop.end_soon(Outcome.MOOT)  # the program ends before this could
@@ -427,7 +429,7 @@
             ticket.hops[hop].give_up(Outcome.CANCELLED)
 
     def close_idle(self, upstream: int, age: int) -> None:
-        self.yard.upstreams[upstream].close_idle(clock() - age)
+        self.table.upstreams[upstream].close_idle(clock() - age)
 
     def ask_list(self) -> None:
         if self.discovery is not None:
--- a/dahliabend/net/routing/upstreams.py
+++ b/dahliabend/net/routing/upstreams.py
@@ -52,32 +52,32 @@
         return self.phase is Phase.OVER
 
     def start(self) -> None:
-        yard = self.upstream.yard
-        self.deadline = yard.deadlines.at(self.until, self.timed_out)
+        table = self.upstream.table
+        self.deadline = table.deadlines.at(self.until, self.timed_out)
         link, self.rested = self.upstream.rested(self.sent)
         if link is not None:
             self.send_on(link)
-        elif yard.descriptors.full(self.sent):
+        elif table.descriptors.full(self.sent):
             self.end_soon(Outcome.MOOT)  # no socket left: the upstream is not to blame
         else:
             # Its place in the table is taken here: taken once the dialling begins, a turn of the loop later,
             # all that start in one turn would find the same room, and overrun the table.
-            link = Link(yard.descriptors, self.upstream)
+            link = Link(table.descriptors, self.upstream)
             self.phase = Phase.DIALING
-            self.dialing = yard.deadlines.loop.create_task(self.connect(yard, link))
+            self.dialing = table.deadlines.loop.create_task(self.connect(table, link))
             self.dialing.add_done_callback(lambda _: link.never_came_up())
 
-    async def connect(self, yard: "Yard", link: Link) -> None:
-        limit = yard.deadlines.at(min(self.until, self.sent + yard.dial_time), self.dialing.cancel)
+    async def connect(self, table: "UpstreamTable", link: Link) -> None:
+        limit = table.deadlines.at(min(self.until, self.sent + table.dial_time), self.dialing.cancel)
         try:
-            await dial(yard.deadlines.loop, self.upstream.address, link)
+            await dial(table.deadlines.loop, self.upstream.address, link)
         except (OSError, asyncio.CancelledError) as error:
             self.why = f"connect: {error or 'no answer'}"
             # Out of its own time before the connection was: nothing to hold against the upstream.
-            late = self.until <= min(clock(), self.sent + yard.dial_time)
+            late = self.until <= min(clock(), self.sent + table.dial_time)
             return self.end(Outcome.MOOT if late else Outcome.UNREACHABLE)
         finally:
-            yard.deadlines.drop(limit)
+            table.deadlines.drop(limit)
             self.dialing = None
         self.upstream.links.add(link)
         self.send_on(link)
@@ -143,7 +143,7 @@
         """On the loop's next turn: the decisions may be in the middle of the call that led here."""
         if not self.over:
             self.settle()
-            self.upstream.yard.deadlines.loop.call_soon(self.ended, outcome, clock() - self.sent, None)
+            self.upstream.table.deadlines.loop.call_soon(self.ended, outcome, clock() - self.sent, None)
 
     def end(self, outcome: Outcome, answer: tuple | None = None) -> None:
         if not self.over:
@@ -152,14 +152,14 @@
 
     def settle(self) -> None:
         self.phase, self.link = Phase.OVER, None
-        self.upstream.yard.deadlines.drop(self.deadline)
+        self.upstream.table.deadlines.drop(self.deadline)
 
 
 class Upstream:
     """The one record of an upstream on sockets. Its connections rest here, the last used on top."""
 
-    def __init__(self, yard: "Yard", index: int, name: str) -> None:
-        self.yard, self.index, self.name = yard, index, name
+    def __init__(self, table: "UpstreamTable", index: int, name: str) -> None:
+        self.table, self.index, self.name = table, index, name
         self.address = ("", 0)
         # As the list last had it: other settings read it anew.
         self.state, self.born, self.weight, self.cell, self.zone = State.GONE, 0, 1.0, 0, ""
@@ -172,14 +172,14 @@
         """A connection at rest, if one is surely still open at the other end, and for how long it was."""
         for at in reversed(range(len(self.resting))):
             link = self.resting[at]
-            idle = now - self.yard.descriptors.idle.get(link.number, 0)
-            if idle < self.yard.settle and not link.closed:
+            idle = now - self.table.descriptors.idle.get(link.number, 0)
+            if idle < self.table.settle and not link.closed:
                 # A second answer may come some milliseconds late: it would be taken for the next one's.
                 continue
             del self.resting[at]
             # Bytes that nobody asked for, read after the next request, would pass for its answer.
-            if not link.closed and idle < self.yard.rest and link.waiting() is None:
-                self.yard.descriptors.busy(link.number)
+            if not link.closed and idle < self.table.rest and link.waiting() is None:
+                self.table.descriptors.busy(link.number)
                 return link, idle
             link.shut()
         return None, 0
@@ -189,7 +189,7 @@
             link.shut()  # nothing more is sent there
         elif not link.closed:
             self.resting.append(link)
-            self.yard.descriptors.rest(link.number, clock())
+            self.table.descriptors.rest(link.number, clock())
 
     def gone(self, link: Link) -> None:
         self.links.discard(link)
@@ -198,7 +198,7 @@
 
     def close_idle(self, since: int) -> None:
         """Those idle since before then; the longest idle come first."""
-        idle = self.yard.descriptors.idle
+        idle = self.table.descriptors.idle
         while self.resting and idle.get(self.resting[0].number, 0) <= since:
             self.resting.pop(0).shut()
 
@@ -218,7 +218,7 @@
             self.close_idle(clock())
 
 
-class Yard:
+class UpstreamTable:
     """What all upstreams share, and the upstreams themselves, by id and by index. An index is never used
     again: late news of one that has gone finds nothing, and a new one inherits nothing."""
 
--- a/tests/emulator/defects.py
+++ b/tests/emulator/defects.py
@@ -22,7 +22,7 @@
 from dahliabend.net.protocol.discovery import Book
 from dahliabend.net.protocol.upstreams import Link
 from dahliabend.net.routing.router import Hop, Router
-from dahliabend.net.routing.upstreams import Exchange, Phase, Yard
+from dahliabend.net.routing.upstreams import Exchange, Phase, UpstreamTable
 from dahliabend.net.transport.deadlines import clock
 from dahliabend.net.transport.descriptors import Descriptors
 from dahliabend.net.transport.listener import Listener
@@ -99,8 +99,8 @@
 def keep_a_deadline():
     def settle(self):
         self.phase, self.link = Phase.OVER, None
-        self.upstream.yard.deadlines.drop(self.deadline)
-        self.upstream.yard.deadlines.at(clock() + 3600 * S, int)
+        self.upstream.table.deadlines.drop(self.deadline)
+        self.upstream.table.deadlines.at(clock() + 3600 * S, int)
 
     return instead(Exchange, "settle", settle)
 
@@ -213,13 +213,13 @@
 def dial_for_ever():
     real = Exchange.connect
 
-    async def connect(self, yard, link):
-        before, yard.dial_time = yard.dial_time, 3600 * S
+    async def connect(self, table, link):
+        before, table.dial_time = table.dial_time, 3600 * S
         self.until += 3600 * S
         try:
-            await real(self, yard, link)
+            await real(self, table, link)
         finally:
-            yard.dial_time = before
+            table.dial_time = before
 
     return instead(Exchange, "connect", connect)
 
@@ -258,7 +258,7 @@
 
 
 def use_connections_again_at_once():
-    return instead(Yard, "settle", property(lambda self: 0))
+    return instead(UpstreamTable, "settle", property(lambda self: 0))
 
 
 @contextmanager
--- a/tests/subsets/test_narrowed.py
+++ b/tests/subsets/test_narrowed.py
@@ -15,15 +15,15 @@
 
     def __init__(self):
         self.told, self.excluded, self.failed = [], set(), 0
-        self.yard = SimpleNamespace(
-            indices={}, once={}, remember=lambda name: self.yard.once.update({name: None})
+        self.table = SimpleNamespace(
+            indices={}, once={}, remember=lambda name: self.table.once.update({name: None})
         )
         self.balancer = SimpleNamespace(ready=[], window=1, last_heard=0)
 
     def listed(self, rows, full):
         assert full
         self.told.append({row[0]: row for row in rows})
-        self.yard.indices = dict.fromkeys(row[0] for row in rows)
+        self.table.indices = dict.fromkeys(row[0] for row in rows)
         self.balancer.ready = [SimpleNamespace(aside=False, ended=0, filled=0) for row in rows]
 
     def list_failed(self):
@@ -47,7 +47,7 @@
     made, router = narrowed(least=6, degree=4)
     made.listed(rows(range(30)), full=True)
     assert set(router.told[-1]) == set(made.now.weights) and 6 <= len(router.told[-1]) <= 9
-    assert set(router.yard.once) == {f"u{n}" for n in range(30)}
+    assert set(router.table.once) == {f"u{n}" for n in range(30)}
     assert made.shown()["by"] == "name" and made.shown()["of"] == 30
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -15,7 +15,7 @@
 from dahliabend.net.protocol.discovery import Book, Discovery
 from dahliabend.net.protocol.upstreams import Link
 from dahliabend.net.routing.router import Router, Seat, Ticket
-from dahliabend.net.routing.upstreams import Exchange, Yard
+from dahliabend.net.routing.upstreams import Exchange, UpstreamTable
 from dahliabend.net.transport.connection import RING, Connection
 from dahliabend.net.transport.deadlines import Deadlines, clock
 from dahliabend.net.transport.descriptors import Descriptors
@@ -68,11 +68,11 @@
 SETTLED = 75 * MS  # longer than a second answer is waited for
 
 
-def yard(loop=None, limit=100):
+def upstream_table(loop=None, limit=100):
     deadlines = Deadlines(
         loop or SimpleNamespace(call_later=lambda *_: None, call_soon=lambda call, *a: call(*a))
     )
-    return Yard(deadlines, Descriptors(limit), 75 * MS, 4 * S, Notes().append)
+    return UpstreamTable(deadlines, Descriptors(limit), 75 * MS, 4 * S, Notes().append)
 
 
 class Asked(Exchange):
@@ -82,13 +82,13 @@
 
 def asked(takes=1 << 30, length=9, kind=Asked):
     """A request out on a connection that takes so many bytes: the request and the link."""
-    upstream = yard().find("s-1")
+    upstream = upstream_table().find("s-1")
     upstream.wanted = True
-    link = Link(upstream.yard.descriptors, upstream)
+    link = Link(upstream.table.descriptors, upstream)
     upstream.links.add(link)
     Pipe(link, takes)
     upstream.free(link)
-    upstream.yard.descriptors.rest(link.number, clock() - upstream.yard.settle)  # no second answer came
+    upstream.table.descriptors.rest(link.number, clock() - upstream.table.settle)  # no second answer came
     exchange = kind(upstream, b"x" * (length // 2), b"y" * (length - length // 2), S)
     exchange.start()
     return exchange, link
@@ -186,41 +186,41 @@
     feed(link, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
     exchange.upstream.close_idle(clock())
     link.connection_lost(None)
-    table = exchange.upstream.yard.descriptors
+    table = exchange.upstream.table.descriptors
     new = Link(table, exchange.upstream)
     table.give_back(old)
     assert table.connections.get(new.number) is new and new.number != old
 
 
 def test_an_idle_connection_near_its_time_is_not_used_again():
-    upstream = yard().find("s-1")
+    upstream = upstream_table().find("s-1")
     upstream.wanted = True
     for age, used in ((3 * S, True), (5 * S, False)):
-        link = Link(upstream.yard.descriptors, upstream)
+        link = Link(upstream.table.descriptors, upstream)
         upstream.links.add(link)
         upstream.free(link)
         assert (upstream.rested(clock() + age)[0] is link) == used
 
 
 def test_only_connections_idle_for_longer_are_closed():
-    upstream = yard().find("s-1")
+    upstream = upstream_table().find("s-1")
     upstream.wanted = True
-    old, new = (Link(upstream.yard.descriptors, upstream) for _ in range(2))
+    old, new = (Link(upstream.table.descriptors, upstream) for _ in range(2))
     for link in (old, new):
         upstream.free(link)
-    upstream.yard.descriptors.idle[old.number] -= S
+    upstream.table.descriptors.idle[old.number] -= S
     upstream.close_idle(clock() - S // 2)
     assert old.closed and not new.closed and 0 <= upstream.rested(clock() + SETTLED)[1] < S
 
 
 def test_a_new_address_ends_what_rests_at_the_old_one():
-    upstream = yard().find("s-1")
+    upstream = upstream_table().find("s-1")
     upstream.use()
     upstream.move(("127.0.0.1", 1))
-    link, busy = (Link(upstream.yard.descriptors, upstream) for _ in range(2))
+    link, busy = (Link(upstream.table.descriptors, upstream) for _ in range(2))
     upstream.links |= {link, busy}
     upstream.free(link)
-    upstream.yard.descriptors.rest(link.number, clock() - upstream.yard.settle)  # no second answer came
+    upstream.table.descriptors.rest(link.number, clock() - upstream.table.settle)  # no second answer came
     upstream.move(("127.0.0.1", 2))
     assert link.closed and not busy.closed and not busy.keep
 
@@ -233,8 +233,8 @@
             self[:] = [(u.index, u.name) for u, _ in rows]
             self.balancer.upstreams = {u.index for u, state in rows if state is not State.GONE}
 
-    told, all_of = Told(), yard()
-    desk = SimpleNamespace(yard=all_of, epoch=0, seats=[told], excluded=set(), balancer=told.balancer)
+    told, all_of = Told(), upstream_table()
+    desk = SimpleNamespace(table=all_of, epoch=0, seats=[told], excluded=set(), balancer=told.balancer)
     desk.admit = lambda upstream: Router.admit(desk, upstream)
     row = ("s-1", ("127.0.0.1", 1), State.READY, 0, 1.0, 0, "a")
     Router.listed(desk, [row], True)
@@ -252,9 +252,9 @@
 
 
 def test_without_a_socket_left_a_hop_never_ran_and_the_upstream_is_not_to_blame():
-    upstream = yard(limit=26).find("s-1")
+    upstream = upstream_table(limit=26).find("s-1")
     for _ in range(10):
-        Connection(upstream.yard.descriptors)
+        Connection(upstream.table.descriptors)
     exchange = Asked(upstream, b"x", b"", S)
     exchange.start()
     assert exchange.outcome is Outcome.MOOT
@@ -264,7 +264,7 @@
     budget, near, far = Descriptors(26), *socket.socketpair()
     with closing(near), closing(far):
         near.setblocking(False)
-        deadlines = yard().deadlines
+        deadlines = upstream_table().deadlines
         unread, idle, fresh = (Caller(budget, deadlines, DESK, S) for _ in range(3))
         unread.sock = near
         far.send(b"G")
@@ -280,7 +280,7 @@
 
 
 def test_a_caller_that_sends_on_without_reading_is_held_back():
-    caller = Caller(Descriptors(100), yard().deadlines, DESK, S)
+    caller = Caller(Descriptors(100), upstream_table().deadlines, DESK, S)
     Pipe(caller, 0)
     raw = b"GET /-/ready HTTP/1.1\r\n\r\n"
     feed(caller, raw)
@@ -291,7 +291,7 @@
 
 def test_the_silent_and_the_trickling_are_owed_an_end_counted_from_connecting():
     for sent, status in ((b"", b""), (b"GET /-/re", b"HTTP/1.1 408")):
-        caller = Caller(Descriptors(100), yard().deadlines, DESK, 9 * S)
+        caller = Caller(Descriptors(100), upstream_table().deadlines, DESK, 9 * S)
         pipe, came = Pipe(caller), clock()
         for byte in sent:
             feed(caller, bytes([byte]))
@@ -410,7 +410,10 @@
 def test_ended_connections_and_transactions_leave_nothing_for_the_collector():
     gc.disable()
     try:
-        for make in (lambda: Caller(Descriptors(100), yard().deadlines, DESK, S), lambda: asked()[1]):
+        for make in (
+            lambda: Caller(Descriptors(100), upstream_table().deadlines, DESK, S),
+            lambda: asked()[1],
+        ):
             made = make()
             Pipe(made)
             made.connection_lost(None)
@@ -441,14 +444,14 @@
 
 
 def test_what_an_operator_put_back_counts_as_just_started_until_the_list_knows_better():
-    told, all_of = [], yard()
+    told, all_of = [], upstream_table()
     seat = SimpleNamespace(
         zones={},
         balancer=SimpleNamespace(
             listed=lambda now, rows, full: told.append(rows[0]), upstreams=all_of.upstreams, drain_alone=False
         ),
     )
-    desk = SimpleNamespace(yard=all_of, epoch=0, seats=[seat], excluded=set(), balancer=seat.balancer)
+    desk = SimpleNamespace(table=all_of, epoch=0, seats=[seat], excluded=set(), balancer=seat.balancer)
     seat.router, seat.listed = desk, lambda rows, full: Seat.listed(seat, rows, full)
     desk.admit = lambda upstream: Router.admit(desk, upstream)
     row = ["s-1", ("127.0.0.1", 1), State.READY, 5, 1.0, 0, "a"]
@@ -465,7 +468,7 @@
 
 
 def test_a_connection_accepted_but_not_yet_up_is_not_let_go_as_idle():
-    caller = Caller(Descriptors(100), yard().deadlines, DESK, S)
+    caller = Caller(Descriptors(100), upstream_table().deadlines, DESK, S)
     caller.let_go(clock() - S // 2)
     assert not caller.closed
 
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -5,7 +5,7 @@
 
 import pytest
 from helpers import MS, PATIENCE, Caller, S, Upstream, answer, balancer, call, program, until
-from test_net import DESK, Pipe, feed, yard
+from test_net import DESK, Pipe, feed, upstream_table
 
 from dahliabend.model import Outcome
 from dahliabend.net.protocol.callers import PAUSE
@@ -121,7 +121,7 @@
 
 
 def test_a_slow_head_and_a_steady_body_are_waited_for_and_silence_is_not():
-    caller, came = Taker(Descriptors(100), yard().deadlines, DESK, 9 * S), clock()
+    caller, came = Taker(Descriptors(100), upstream_table().deadlines, DESK, 9 * S), clock()
     Pipe(caller)
     feed(caller, SIZED % (b"t", 60_000))
     caller.headed = caller.heard = came - PAUSE // 2
@@ -162,7 +162,7 @@
 def test_a_request_behind_a_long_answer_is_not_lost_when_callers_are_sent_away():
     desk = SimpleNamespace(closing=lambda: True, ready=lambda: True)
     for behind, kept in ((1, True), (0, False)):
-        caller = Taker(Descriptors(100), yard().deadlines, desk, S)
+        caller = Taker(Descriptors(100), upstream_table().deadlines, desk, S)
         Pipe(caller)
         caller.serving = caller.keep = True
         caller.queue.extend([()] * behind)
