--- a/dahliabend/emulator/remains.py
+++ b/dahliabend/emulator/remains.py
@@ -41,10 +41,10 @@
             if not fine:
                 broken("left behind", f"{name}: {what}")
 
-        want(not len(router.tickets), f"{len(router.tickets)} transactions that nobody waits for")
+        want(not len(router.requests), f"{len(router.requests)} transactions that nobody waits for")
         want(not router.traces, f"{len(router.traces)} ids of ended transactions")
-        want(len(router.seats) == 1, f"{len(router.seats)} sets of decisions")
-        want(all(not seat.held for seat in router.seats), "a set of decisions holds a transaction")
+        want(len(router.policies) == 1, f"{len(router.policies)} sets of decisions")
+        want(all(not policy.held for policy in router.policies), "a set of decisions holds a transaction")
         want(program.figures.open == 0, f"{program.figures.open} open requests in the figures")
         held = sum(len(u.held) for u in router.balancer.upstreams.values())
         want(not held, f"{held} hops held by the decisions")
--- a/dahliabend/emulator/services.py
+++ b/dahliabend/emulator/services.py
@@ -250,6 +250,6 @@
     def look(self, pool) -> None:
         """What a pool holds at rest."""
         router = pool.router
-        held = len(router.tickets), len(router.traces), sum(s.held for s in router.seats), router.out()
+        held = len(router.requests), len(router.traces), sum(s.held for s in router.policies), router.out()
         if any(held):
-            self.rules.broken("left behind", f"{pool.name}: {held} tickets, ids, in seats, hops")
+            self.rules.broken("left behind", f"{pool.name}: {held} requests, ids, in policies, hops")
--- a/dahliabend/net/program/events.py
+++ b/dahliabend/net/program/events.py
@@ -90,7 +90,7 @@
         "info", "it speaks with the other balancers", ("name", "address", "advertise", "life", "resumed")
     ),
     "members.unread": Event("warning", "a list's file can't be read; what is known holds", ("file", "why")),
-    "no_room": Event("warning", "more transactions than the table holds", ("tickets",)),
+    "no_room": Event("warning", "more transactions than the table holds", ("requests",)),
     "passed_on": Event("debug", "a pool turned one away unseen; its fallback has it", ENDED),
     "pool.gone": Event(
         "info", "a pool that the file no longer has has ended its last transaction", ("pool",)
--- a/dahliabend/net/program/probing.py
+++ b/dahliabend/net/program/probing.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from dahliabend.model import Outcome, State
-from dahliabend.net.routing.router import Router, Seat
+from dahliabend.net.routing.router import Policy, Router
 from dahliabend.net.routing.upstreams import Upstream
 from dahliabend.net.transport.deadlines import clock
 from dahliabend.turns.shared import Shared, Told
@@ -18,10 +18,10 @@
         self.shared = Shared(me, period, self.probe, log)
         self.places: dict[str, tuple[Router, Upstream]] = {}  # by duty
 
-    def want(self, pool: str, upstream: Upstream, seat: Seat) -> bool:
+    def want(self, pool: str, upstream: Upstream, policy: Policy) -> bool:
         """The decisions want one probed. False: it is theirs to do."""
         index, duty = upstream.index, named(pool, upstream)
-        return self.shared.want(clock(), duty, lambda _, outcome: seat.probed(index, outcome))
+        return self.shared.want(clock(), duty, lambda _, outcome: policy.probed(index, outcome))
 
     def beat(
         self, members: Iterable[tuple[str, str]], settled: bool, pools: list[tuple[str, Router]]
@@ -38,7 +38,7 @@
     def probe(self, duty: str, told: Told) -> None:
         if duty in self.places:  # else it has gone since
             router, upstream = self.places[duty]
-            router.seats[-1].sound(upstream, lambda _, outcome: told(clock(), outcome))
+            router.policies[-1].sound(upstream, lambda _, outcome: told(clock(), outcome))
 
     def shown(self) -> dict:
         """Of each duty, who did it last, under which number and how long ago."""
--- a/dahliabend/net/program/serve.py
+++ b/dahliabend/net/program/serve.py
@@ -208,7 +208,7 @@
         """The figures that on-call looks for first."""
         balancer = self.router.balancer
         self.log(
-            "figures", counts=self.router.counts, held=len(self.router.tickets),
+            "figures", counts=self.router.counts, held=len(self.router.requests),
             connections=len(self.descriptors.connections), out=balancer.out, crowd=round(balancer.ceiling, 1),
             tier=round(balancer.tier.metric, 2), ready=len(balancer.ready), using=len(balancer.using),
             aside=[self.router.table.upstreams[u.index].name for u in balancer.ready if u.aside],
@@ -238,7 +238,7 @@
         self.patience, self.terms = max(self.patience, *node.longest), node.terms
         table = self.router.table
         table.dial_time, table.rest = node.dial_time, node.rest
-        held = len(self.router.tickets)
+        held = len(self.router.requests)
         kept = self.router.switch(node)
         self.log("switched", held=held, kept=kept, afresh=len(table.upstreams) - kept)
         self.tell_unmet(node.unmet)
@@ -253,7 +253,7 @@
         if self.router.stop_at:
             return
         now = clock()
-        self.log("stopping", held=len(self.router.tickets))
+        self.log("stopping", held=len(self.router.requests))
         self.router.stop_by(now + min(self.patience, LONGEST_STOP) + MARGIN - IN_HAND)
         # Callers go elsewhere as soon as their connections close; those with a request are answered first.
         self.let_go()
--- a/dahliabend/net/program/service.py
+++ b/dahliabend/net/program/service.py
@@ -388,7 +388,7 @@
         for pool in self.desk:
             balancer = pool.router.balancer
             self.log(
-                "figures", pool=pool.name, counts=pool.router.counts, held=len(pool.router.tickets),
+                "figures", pool=pool.name, counts=pool.router.counts, held=len(pool.router.requests),
                 out=balancer.out, crowd=round(balancer.ceiling, 1), tier=round(balancer.tier.metric, 2),
                 ready=len(balancer.ready), retired=pool.retired,
             )  # fmt: skip
--- a/dahliabend/net/protocol/callers.py
+++ b/dahliabend/net/protocol/callers.py
@@ -51,7 +51,7 @@
         self.deadlines, self.desk, self.patience = deadlines, desk, patience
         self.parser = httptools.HttpRequestParser(self)
         self.queue: deque[tuple] = deque()  # requests that have come whole
-        self.ticket = -1  # of the transaction that is being served
+        self.request = -1  # of the transaction that is being served
         self.profile = b""  # the known one that it names, until its answer has gone
         self.settle: Callable | None = None  # called then: a limit's place is given back
         self.serving = self.keep = self.last = self.served = False
@@ -197,8 +197,8 @@
         if self.fault and self.upload is not None and not self.served and not self.closed and not self.last:
             # In the middle of a body that was already passed on: it has no end, so it never runs.
             self.upload, self.keep = None, False
-            ticket, self.ticket = self.ticket, -1
-            self.desk.left(ticket)
+            request, self.request = self.request, -1
+            self.desk.left(request)
             return self.refuse(self.fault)
         if self.fault and not self.serving and not self.closed and not self.last:
             self.serving, self.keep = True, False
@@ -229,7 +229,7 @@
         trace, expires = self.desk.marks(profile, fields)
         if not 0 < len(trace) <= LONGEST_ID or not expires.isdigit() or len(expires) > 12 or not int(expires):
             return self.refuse(400)
-        self.ticket = self.desk.take(
+        self.request = self.desk.take(
             self, profile, method, target, passed, body,
             expires=int(expires) * 1000, began=began, customer=fields.get(wire.CUSTOMER, b""),
             again=fields.get(wire.SECOND_TRY) == b"1", trace=trace, upload=self.upload,
@@ -259,7 +259,7 @@
 
     def answer(self, status: int, headers: bytes, body: bytes) -> None:
         """The one answer to the request being served."""
-        self.ticket = -1
+        self.request = -1
         if self.closed:
             return
         if self.profile:
@@ -315,7 +315,7 @@
     def end(self) -> None:
         if self.closed:
             return
-        self.ticket, self.source = -1, None
+        self.request, self.source = -1, None
         self.desk.counted(self.profile, 200)
         self.served, self.last = True, not self.keep
         self.stalled = self.deadlines.at(clock() + 4 * self.patience, self.shut)
@@ -325,7 +325,7 @@
         """It is not whole, and the caller has to see that."""
         if self.closed:
             return
-        self.ticket, self.source = -1, None
+        self.request, self.source = -1, None
         self.desk.counted(self.profile, 502)
         if not self.measured and not self.chunked and self.sock is not None:
             # Its end is the connection's: only a reset tells that this was not it.
@@ -411,6 +411,6 @@
         self.deadlines.drop(self.stalled)
         self.deadlines.drop(self.glance)
         self.over()
-        ticket, self.ticket = self.ticket, -1
-        if ticket >= 0:
-            self.desk.left(ticket)
+        request, self.request = self.request, -1
+        if request >= 0:
+            self.desk.left(request)
--- a/dahliabend/net/routing/desk.py
+++ b/dahliabend/net/routing/desk.py
@@ -110,7 +110,7 @@
 
     def clear(self) -> list[Pool]:
         """Pools that have retired and hold nothing: forgotten here, for whoever owns their parts to end."""
-        done = [pool for pool in self.pools.values() if pool.retired and not len(pool.router.tickets)]
+        done = [pool for pool in self.pools.values() if pool.retired and not len(pool.router.requests)]
         for pool in done:
             del self.pools[pool.number]
         return done
@@ -163,22 +163,22 @@
             )  # fmt: skip
         for name in names:
             pool, turned_away = self.names[name], []
-            ticket = pool.router.take(
+            request = pool.router.take(
                 caller, routes.profiles[name][number], method, target, passed, body, trace=trace,
                 upload=upload, otherwise=turned_away.append if name != names[-1] else None, **common,
             )  # fmt: skip
             if not turned_away:
                 break
-        return -1 if ticket < 0 else ticket * MOST_POOLS + pool.number % MOST_POOLS
+        return -1 if request < 0 else request * MOST_POOLS + pool.number % MOST_POOLS
 
     def part_ready(self, name: str) -> float:
         return self.names[name].part_ready
 
     def left(self, number: int) -> None:
-        ticket, slot = divmod(number, MOST_POOLS)
+        request, slot = divmod(number, MOST_POOLS)
         for pool in self.pools.values():
             if pool.number % MOST_POOLS == slot:
-                pool.router.left(ticket)
+                pool.router.left(request)
 
     # What the program asks.
 
@@ -210,8 +210,8 @@
             pool.router.stop_by(when)
 
     @property
-    def tickets(self) -> list:
-        return [ticket for pool in self.pools.values() for ticket in pool.router.tickets]
+    def requests(self) -> list:
+        return [request for pool in self.pools.values() for request in pool.router.requests]
 
     @property
     def counts(self) -> dict[str, dict[str, int]]:
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -18,12 +18,12 @@
 FAR = 1 << 50  # microseconds: no limit yet
 
 
-class Ticket:
+class Request:
     """A transaction taken: its caller, its handle and its hops."""
 
     __slots__ = (
         "answered", "body", "caller", "expires", "handle", "head", "hops", "name", "number", "otherwise",
-        "passed", "profile", "route", "seat", "taken", "trace", "trail", "upload",
+        "passed", "profile", "route", "policy", "taken", "trace", "trail", "upload",
     )  # fmt: skip
 
     def __init__(self, caller: Caller, profile: int, head: bytes, passed: bytes, body: bytes, trace: bytes):
@@ -34,7 +34,7 @@
         self.route = ""  # its name, where it came by an operator's
         self.expires, self.upload = 0, None  # how long its caller waits; a body that still comes
         self.handle: Transaction | None = None
-        self.seat: Seat | None = None
+        self.policy: Policy | None = None
         self.hops: list[Hop] = []
         self.trail: list[tuple] = []  # of its hops: upstream, outcome, milliseconds
 
@@ -52,57 +52,57 @@
 class Hop(Exchange):
     """One sending of a transaction."""
 
-    def __init__(self, router: "Router", ticket: Ticket, upstream, timeout: int) -> None:
-        self.upload = ticket.upload
-        super().__init__(upstream, ticket.head, ticket.body, timeout)
-        self.router, self.ticket, self.order = router, ticket, len(ticket.hops)
+    def __init__(self, router: "Router", request: Request, upstream, timeout: int) -> None:
+        self.upload = request.upload
+        super().__init__(upstream, request.head, request.body, timeout)
+        self.router, self.request, self.order = router, request, len(request.hops)
         self.flowing, self.moved, self.first = False, 0, 0  # `first`: when a long answer's first byte came
         self.hurry: list | None = None
         self.late: list | None = None  # when a second hop beside this one is asked for
 
     def awaited(self) -> bool:
-        return not self.ticket.answered
+        return not self.request.answered
 
     def head_for(self, left: int) -> bytes:
         # Told when it was chosen, the time would be too long by what the connection took to come up.
-        ticket, length = self.ticket, len(self.body)
+        request, length = self.request, len(self.body)
         if self.upload is not None:
-            length, left = self.upload.length, min(left, ticket.expires)
+            length, left = self.upload.length, min(left, request.expires)
         framing = b"Transfer-Encoding: chunked" if length is None else b"Content-Length: %d" % length
         return b"%bX-Expires-In-Ms: %d\r\n%b%b\r\n\r\n" % (
-            self.head, max(1, left // 1000), ticket.passed, framing,
+            self.head, max(1, left // 1000), request.passed, framing,
         )  # fmt: skip
 
     def slow(self) -> None:
-        self.ticket.handle.slow(clock())
+        self.request.handle.slow(clock())
 
     def start(self) -> None:
         super().start()
-        if self.upload is not None and not self.over and self.until > self.sent + self.ticket.expires:
+        if self.upload is not None and not self.over and self.until > self.sent + self.request.expires:
             self.upstream.table.deadlines.drop(self.deadline)
-            self.look_again(self.sent + self.ticket.expires)
+            self.look_again(self.sent + self.request.expires)
 
     def written(self) -> None:
-        ticket, self.moved = self.ticket, clock()
-        self.router.figures.relayed(ticket.name)
-        after = ticket.seat.balancer.profiles[ticket.profile].second_after
-        if after and not self.order and ticket.upload is None:
+        request, self.moved = self.request, clock()
+        self.router.figures.relayed(request.name)
+        after = request.policy.balancer.profiles[request.profile].second_after
+        if after and not self.order and request.upload is None:
             self.late = self.upstream.table.deadlines.at(self.sent + after, self.slow)
-        if ticket.upload is not None and ticket.handle.coming:
+        if request.upload is not None and request.handle.coming:
             # Until now nothing could run there: what the caller took to send counts against nobody.
-            wait = ticket.handle.arrived(self.moved, ticket.upload.ended_at + ticket.expires)
+            wait = request.handle.arrived(self.moved, request.upload.ended_at + request.expires)
             self.sent, self.until = self.moved, self.moved + wait
             self.upstream.table.deadlines.drop(self.deadline)
             self.deadline = self.upstream.table.deadlines.at(self.until, self.timed_out)
 
     def timed_out(self) -> None:
         """A body that comes, or an answer that has begun, ends only once nothing moves for long."""
-        coming = self.upload is not None and self.ticket.handle.coming
+        coming = self.upload is not None and self.request.handle.coming
         now, wait = clock(), STANDSTILL
         if coming and (self.link is None or self.link.backlog):
             # It is the upstream that takes nothing, and its caller may have sent all: held back, that can't
             # be seen. Waited for as long as for a slow caller, it would go unanswered past its limit.
-            wait = min(wait, self.ticket.expires)
+            wait = min(wait, self.request.expires)
         moved = self.moved if self.flowing else self.upload.moved if coming else now - wait
         if coming and self.dialing is not None:
             self.look_again(now + wait)
@@ -110,7 +110,7 @@
             self.look_again(moved + wait)
         else:
             if coming:
-                self.ticket.passed_by()  # its time has gone by: none is left for another hop
+                self.request.passed_by()  # its time has gone by: none is left for another hop
             super().timed_out()
 
     def look_again(self, when: int) -> None:
@@ -121,19 +121,19 @@
         self.hurry = self.upstream.table.deadlines.at(clock() + HURRY, self.link.begin)
 
     def began(self, passed: bytes, length: int | None) -> None:
-        ticket = self.ticket
-        if ticket.answered:  # the hop beside it was quicker: two answers would be one too many
+        request = self.request
+        if request.answered:  # the hop beside it was quicker: two answers would be one too many
             return self.give_up(Outcome.CANCELLED)
         self.flowing, self.moved, self.first = True, clock(), clock()
-        ticket.close(by=self)
-        ticket.handle.begun(self.moved, self.order)
-        ticket.caller.begin(passed, length, self.link)
+        request.close(by=self)
+        request.handle.begun(self.moved, self.order)
+        request.caller.begin(passed, length, self.link)
         self.upstream.table.deadlines.drop(self.deadline)
         self.timed_out()
 
     def part(self, part: bytes) -> None:
         self.moved = clock()
-        self.ticket.caller.more(part)
+        self.request.caller.more(part)
 
     def settle(self) -> None:
         super().settle()
@@ -144,7 +144,7 @@
         self.router.hop_ended(self, outcome, took, answer)
 
 
-class Seat:
+class Policy:
     """One set of decisions and its port: what it alone is told, and the settings that it goes by. One that
     has been followed stays until its last transaction has ended."""
 
@@ -179,7 +179,7 @@
         self.router.deadlines.at(at, self.woken, token)
 
     def woken(self, token: int) -> None:
-        if self in self.router.seats:
+        if self in self.router.policies:
             self.balancer.woken(clock(), token)
 
     def tell(self, peer: int, text: bytes) -> None:
@@ -198,7 +198,7 @@
         self.excluded: set[str] = set()  # upstreams that an operator has taken out, by id
         self.discovery: Discovery | None = None
         self.epoch = node.epoch
-        self.tickets: Slots[Ticket] = Slots(node.most_held)
+        self.requests: Slots[Request] = Slots(node.most_held)
         self.traces: set[bytes] = set()  # the ids of those
         self.stop_at = 0  # when all that is still held is given up; 0: not stopping
         self.counts: dict[str, int] = {}
@@ -206,26 +206,26 @@
         self.tells: Callable | None = None  # told of each hop's end: upstream and outcome
         self.shares: Callable | None = None  # asked whether another probes an upstream, and tells
         self.route_names: list[str] = []  # by profile, where an operator's routes are profiles
-        self.seats: list[Seat] = []  # the last takes new transactions; the others end theirs
-        self.seat(node)
+        self.policies: list[Policy] = []  # the last takes new transactions; the others end theirs
+        self.install(node)
 
     @property
     def balancer(self) -> Balancer:
-        return self.seats[-1].balancer
+        return self.policies[-1].balancer
 
-    def seat(self, node: Node) -> None:
+    def install(self, node: Node) -> None:
         self.profiles, self.customers = node.profiles, node.customers
         self.figures.know(node.profiles)
         self.longest, self.slack = node.longest, node.slack
-        self.seats.append(Seat(self, node))
+        self.policies.append(Policy(self, node))
 
     def switch(self, node: Node) -> int:
         """Other settings take over: a fresh set of decisions for what comes from now on. What is in hand ends
         under those it began with, lest it get two answers or none. How many upstreams kept what is known."""
         before, profiles = self.balancer, self.profiles
-        self.seats = [seat for seat in self.seats if seat.held]
-        self.seat(node)
-        self.seats[-1].listed([(u, u.state) for u in self.table.upstreams.values()], full=True)
+        self.policies = [policy for policy in self.policies if policy.held]
+        self.install(node)
+        self.policies[-1].listed([(u, u.state) for u in self.table.upstreams.values()], full=True)
         # Else one of a key could be sent beside another that the ones before still have out.
         self.balancer.lines.follow(before.lines)
         return self.balancer.follow(before.known(ends=True), self.pairs(profiles))
@@ -253,7 +253,7 @@
 
     def out(self) -> int:
         """Hops in flight, of all sets of decisions."""
-        return sum(seat.balancer.out for seat in self.seats)
+        return sum(policy.balancer.out for policy in self.policies)
 
     def servers(self) -> list[dict]:
         """The list as it stands, in discovery's form."""
@@ -285,47 +285,47 @@
             caller.refuse(409)
             return -1
         head = b"%b %b HTTP/1.1\r\n" % (method, target)
-        ticket = Ticket(caller, profile, head, passed, body, trace)
-        ticket.name, ticket.otherwise = caller.profile, otherwise
-        ticket.route = self.route_names[profile] if self.route_names else ""
-        ticket.number = number = self.tickets.put(ticket)
+        request = Request(caller, profile, head, passed, body, trace)
+        request.name, request.otherwise = caller.profile, otherwise
+        request.route = self.route_names[profile] if self.route_names else ""
+        request.number = number = self.requests.put(request)
         if number < 0:
             # The table is full: the caller is told at once, nothing has run.
-            self.log("no_room", tickets=len(self.tickets))
+            self.log("no_room", requests=len(self.requests))
             caller.answer(503, b"", b"too many transactions\n")
             return -1
         self.traces.add(trace)
         # The time runs from the caller's sending; on a busy machine the bytes have lain unread for a while,
         # and so will the answer. One at the very limit would come after it.
         expires = min(expires, self.longest[profile])
-        ticket.expires, ticket.upload = expires - min(self.slack, expires // 8), upload
-        deadline = clock() + FAR if upload is not None else began + ticket.expires
+        request.expires, request.upload = expires - min(self.slack, expires // 8), upload
+        deadline = clock() + FAR if upload is not None else began + request.expires
         if self.stop_at:
             deadline = min(deadline, self.stop_at)
-        ticket.seat = seat = self.seats[-1]
-        seat.held += 1
-        ticket.handle = seat.balancer.take(
-            ticket.taken, number, profile, self.customers.get(customer, len(self.customers)), deadline,
+        request.policy = policy = self.policies[-1]
+        policy.held += 1
+        request.handle = policy.balancer.take(
+            request.taken, number, profile, self.customers.get(customer, len(self.customers)), deadline,
             again, upload is not None, key,
         )  # fmt: skip
         if upload is not None:
-            upload.reader = ticket
-        ticket.otherwise = None
-        self.drop_if_over(ticket)
-        return -1 if ticket.answered else number
+            upload.reader = request
+        request.otherwise = None
+        self.drop_if_over(request)
+        return -1 if request.answered else number
 
     def left(self, number: int) -> None:
         """The caller has gone away."""
-        ticket = self.tickets.get(number)
-        if ticket is None:
+        request = self.requests.get(number)
+        if request is None:
             return
-        if not ticket.answered:
-            ticket.close()
-            self.note("left", ticket)
-            ticket.handle.left(clock())
-            self.drop_if_over(ticket)
+        if not request.answered:
+            request.close()
+            self.note("left", request)
+            request.handle.left(clock())
+            self.drop_if_over(request)
         else:  # in the middle of a long answer
-            for hop in tuple(ticket.hops):
+            for hop in tuple(request.hops):
                 hop.give_up(Outcome.CANCELLED)
 
     def ready(self) -> bool:
@@ -362,11 +362,13 @@
                 upstream.move(address)
             self.admit(upstream)
             told.append((upstream, state))
-        for seat in self.seats:  # also those that only end what they have: a drain holds for their hops too
-            seat.listed(told, full)
+        for (
+            policy
+        ) in self.policies:  # also those that only end what they have: a drain holds for their hops too
+            policy.listed(told, full)
         for index in tuple(self.table.upstreams):
             # Where only draining binds, the decisions keep some that the list has lost, to be sent to.
-            if not any(index in seat.balancer.upstreams for seat in self.seats):
+            if not any(index in policy.balancer.upstreams for policy in self.policies):
                 self.table.forget(index)
 
     def admit(self, upstream: Upstream) -> None:
@@ -390,43 +392,43 @@
                 # balancers would push it over.
                 upstream.returned = upstream.returned if out else clock()
                 self.admit(upstream)
-                for seat in self.seats:
-                    seat.listed([(upstream, upstream.state)], full=False)
+                for policy in self.policies:
+                    policy.listed([(upstream, upstream.state)], full=False)
         return True
 
     def list_failed(self) -> None:
-        for seat in self.seats:
-            seat.balancer.list_failed(clock())
+        for policy in self.policies:
+            policy.balancer.list_failed(clock())
 
     # The port.
 
     def send(self, ref: int, upstream: int, timeout: int) -> None:
-        ticket = self.tickets.get(ref)
-        hop = Hop(self, ticket, self.table.upstreams[upstream], timeout)
-        ticket.hops.append(hop)
+        request = self.requests.get(ref)
+        hop = Hop(self, request, self.table.upstreams[upstream], timeout)
+        request.hops.append(hop)
         if self.stop_at and clock() >= self.stop_at:
             hop.end_soon(Outcome.MOOT)  # the program ends before this could
         else:
             hop.start()
 
     def roll_back(self, ref: int, come_back_in: int) -> None:
-        ticket = self.tickets.get(ref)
-        if ticket is not None and ticket.otherwise is not None and not ticket.hops:
-            ticket.close()
-            self.note("passed_on", ticket)
-            return ticket.otherwise(ref)
+        request = self.requests.get(ref)
+        if request is not None and request.otherwise is not None and not request.hops:
+            request.close()
+            self.note("passed_on", request)
+            return request.otherwise(ref)
         advice = b"Retry-After: %.3f\r\n" % (come_back_in / 1e6) if come_back_in else b""
         self.answer(ref, "rolled_back", 503, advice, b"rolled back\n")
-        if ticket is not None and ticket.handle is not None and not ticket.hops:
-            self.drop_if_over(ticket)  # it waited for its turn: no hop's end will come for it
+        if request is not None and request.handle is not None and not request.hops:
+            self.drop_if_over(request)  # it waited for its turn: no hop's end will come for it
 
     def abandon(self, ref: int) -> None:
         self.answer(ref, "abandoned", 502, b"", b"abandoned\n")
 
     def cancel(self, ref: int, hop: int) -> None:
-        ticket = self.tickets.get(ref)
-        if ticket is not None:
-            ticket.hops[hop].give_up(Outcome.CANCELLED)
+        request = self.requests.get(ref)
+        if request is not None:
+            request.hops[hop].give_up(Outcome.CANCELLED)
 
     def close_idle(self, upstream: int, age: int) -> None:
         self.table.upstreams[upstream].close_idle(clock() - age)
@@ -438,67 +440,67 @@
     # What comes of it.
 
     def hop_ended(self, hop: Hop, outcome: Outcome, took: int, answer: tuple | None) -> None:
-        ticket = hop.ticket
-        ticket.trail.append((hop.upstream.name, outcome.name, took // 1000))
+        request = hop.request
+        request.trail.append((hop.upstream.name, outcome.name, took // 1000))
         if self.tells is not None:
             self.tells(hop.upstream.name, outcome)
         if outcome is not Outcome.COMMITTED:
-            self.log("hop", tx=ticket.trace.decode("latin-1"), order=hop.order, upstream=hop.upstream.name,
+            self.log("hop", tx=request.trace.decode("latin-1"), order=hop.order, upstream=hop.upstream.name,
                      outcome=outcome.name, ms=took // 1000, why=hop.why)  # fmt: skip
         if hop.flowing:  # its answer's time is that of the first byte
             took = hop.first - hop.sent
             whole = outcome is Outcome.COMMITTED
-            self.note("committed" if whole else "cut", ticket)
-            ticket.caller.end() if whole else ticket.caller.cut()
+            self.note("committed" if whole else "cut", request)
+            request.caller.end() if whole else request.caller.cut()
         elif outcome is Outcome.COMMITTED:
-            self.answer(ticket.number, "committed", 200, *answer[:2])
-        ticket.handle.returned(clock(), hop.order, outcome, took, ticket.answered, hop.rested)
-        self.drop_if_over(ticket)
+            self.answer(request.number, "committed", 200, *answer[:2])
+        request.handle.returned(clock(), hop.order, outcome, took, request.answered, hop.rested)
+        self.drop_if_over(request)
 
     def answer(self, ref: int, how: str, status: int, headers: bytes, body: bytes) -> None:
         """The one answer; what comes later finds it answered and is dropped."""
-        ticket = self.tickets.get(ref)
-        if ticket is None or ticket.answered:
+        request = self.requests.get(ref)
+        if request is None or request.answered:
             return
-        ticket.close()
-        self.note(how, ticket)
-        ticket.caller.answer(status, headers, body)
+        request.close()
+        self.note(how, request)
+        request.caller.answer(status, headers, body)
 
-    def note(self, how: str, ticket: Ticket) -> None:
+    def note(self, how: str, request: Request) -> None:
         self.counts[how] = self.counts.get(how, 0) + 1
         if self.access and how != "passed_on":
-            self.log("access", tx=ticket.trace.decode("latin-1"), how=how, hops=ticket.trail,
-                     ms=(clock() - ticket.taken) // 1000, **self.kind_of(ticket))  # fmt: skip
+            self.log("access", tx=request.trace.decode("latin-1"), how=how, hops=request.trail,
+                     ms=(clock() - request.taken) // 1000, **self.kind_of(request))  # fmt: skip
         if how != "committed":
             self.log(
-                how, tx=ticket.trace.decode("latin-1"), **self.kind_of(ticket), hops=ticket.trail,
-                out=len(ticket.hops) - len(ticket.trail), ms=(clock() - ticket.taken) // 1000,
+                how, tx=request.trace.decode("latin-1"), **self.kind_of(request), hops=request.trail,
+                out=len(request.hops) - len(request.trail), ms=(clock() - request.taken) // 1000,
             )  # fmt: skip
 
-    def kind_of(self, ticket: Ticket) -> dict:
+    def kind_of(self, request: Request) -> dict:
         """For a line of the log."""
-        return {"route": ticket.route} if ticket.route else {"profile": ticket.profile}
-
-    def drop_if_over(self, ticket: Ticket) -> None:
-        if ticket.handle.over:
-            ticket.seat.held -= 1
-            if not ticket.seat.held and ticket.seat is not self.seats[-1]:
-                self.seats.remove(ticket.seat)
-            self.tickets.drop(ticket.number)
-            self.traces.discard(ticket.trace)
+        return {"route": request.route} if request.route else {"profile": request.profile}
+
+    def drop_if_over(self, request: Request) -> None:
+        if request.handle.over:
+            request.policy.held -= 1
+            if not request.policy.held and request.policy is not self.policies[-1]:
+                self.policies.remove(request.policy)
+            self.requests.drop(request.number)
+            self.traces.discard(request.trace)
             # Its hops name it: left so, each transaction and its body would wait for the garbage collector.
-            ticket.hops.clear()
+            request.hops.clear()
 
     def stop_by(self, when: int) -> None:
         """From now on transactions are given until then at the most."""
         self.stop_at = when
-        for ticket in self.tickets:
-            if not ticket.hops:  # in line: without a hop nothing would end it when the program does
-                ticket.handle.end = min(ticket.handle.end, when)
+        for request in self.requests:
+            if not request.hops:  # in line: without a hop nothing would end it when the program does
+                request.handle.end = min(request.handle.end, when)
         self.deadlines.at(when, self.give_up_all)
 
     def give_up_all(self) -> None:
         """The program is killed soon: what is out counts as timed out, lest it end without an answer."""
-        for ticket in self.tickets:
-            for hop in ticket.hops:
+        for request in self.requests:
+            for hop in request.hops:
                 hop.give_up(Outcome.TIMED_OUT)
--- a/tests/emulator/defects.py
+++ b/tests/emulator/defects.py
@@ -89,9 +89,9 @@
 def keep_a_slot():
     real = Router.drop_if_over
 
-    def drop_if_over(self, ticket):
-        if not ticket.trace.endswith(b"7"):
-            real(self, ticket)
+    def drop_if_over(self, request):
+        if not request.trace.endswith(b"7"):
+            real(self, request)
 
     return instead(Router, "drop_if_over", drop_if_over)
 
@@ -150,7 +150,7 @@
         return self.items[slot] if slot < len(self.items) else None
 
     def answer(self, status, headers, body):
-        self.before = self.ticket if self.ticket >= 0 else getattr(self, "before", -1)
+        self.before = self.request if self.request >= 0 else getattr(self, "before", -1)
         real_answer(self, status, headers, body)
 
     def lost(self):
@@ -240,7 +240,7 @@
 
     def give_up(self, outcome):
         if not self.over and self.dialing is not None:
-            self.router.answer(self.ticket.number, "abandoned", 502, b"", b"early\n")
+            self.router.answer(self.request.number, "abandoned", 502, b"", b"early\n")
 
     return instead(Hop, "give_up", give_up)
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -14,7 +14,7 @@
 from dahliabend.net.protocol.callers import Caller
 from dahliabend.net.protocol.discovery import Book, Discovery
 from dahliabend.net.protocol.upstreams import Link
-from dahliabend.net.routing.router import Router, Seat, Ticket
+from dahliabend.net.routing.router import Policy, Request, Router
 from dahliabend.net.routing.upstreams import Exchange, UpstreamTable
 from dahliabend.net.transport.connection import RING, Connection
 from dahliabend.net.transport.deadlines import Deadlines, clock
@@ -234,7 +234,7 @@
             self.balancer.upstreams = {u.index for u, state in rows if state is not State.GONE}
 
     told, all_of = Told(), upstream_table()
-    desk = SimpleNamespace(table=all_of, epoch=0, seats=[told], excluded=set(), balancer=told.balancer)
+    desk = SimpleNamespace(table=all_of, epoch=0, policies=[told], excluded=set(), balancer=told.balancer)
     desk.admit = lambda upstream: Router.admit(desk, upstream)
     row = ("s-1", ("127.0.0.1", 1), State.READY, 0, 1.0, 0, "a")
     Router.listed(desk, [row], True)
@@ -420,16 +420,16 @@
             gone = ref(made)
             del made
             assert gone() is None
-        ticket = Ticket(None, 0, b"", b"", b"", b"")
-        ticket.handle, ticket.hops = SimpleNamespace(over=True), [SimpleNamespace(ticket=ticket)]
-        ticket.caller = made = Connection(Descriptors(100))
+        request = Request(None, 0, b"", b"", b"", b"")
+        request.handle, request.hops = SimpleNamespace(over=True), [SimpleNamespace(request=request)]
+        request.caller = made = Connection(Descriptors(100))
         made.release()
-        seat = ticket.seat = SimpleNamespace(held=1)
-        router = SimpleNamespace(tickets=Slots(4), traces=set(), seats=[seat, SimpleNamespace(held=0)])
-        Router.drop_if_over(router, ticket)
-        assert len(router.seats) == 1  # nor does a set of decisions that has been followed stay
+        policy = request.policy = SimpleNamespace(held=1)
+        router = SimpleNamespace(requests=Slots(4), traces=set(), policies=[policy, SimpleNamespace(held=0)])
+        Router.drop_if_over(router, request)
+        assert len(router.policies) == 1  # nor does a set of decisions that has been followed stay
         gone = ref(made)
-        del ticket, made
+        del request, made
         assert gone() is None  # nothing holds its transaction any more
     finally:
         gc.enable()
@@ -445,14 +445,14 @@
 
 def test_what_an_operator_put_back_counts_as_just_started_until_the_list_knows_better():
     told, all_of = [], upstream_table()
-    seat = SimpleNamespace(
+    policy = SimpleNamespace(
         zones={},
         balancer=SimpleNamespace(
             listed=lambda now, rows, full: told.append(rows[0]), upstreams=all_of.upstreams, drain_alone=False
         ),
     )
-    desk = SimpleNamespace(table=all_of, epoch=0, seats=[seat], excluded=set(), balancer=seat.balancer)
-    seat.router, seat.listed = desk, lambda rows, full: Seat.listed(seat, rows, full)
+    desk = SimpleNamespace(table=all_of, epoch=0, policies=[policy], excluded=set(), balancer=policy.balancer)
+    policy.router, policy.listed = desk, lambda rows, full: Policy.listed(policy, rows, full)
     desk.admit = lambda upstream: Router.admit(desk, upstream)
     row = ["s-1", ("127.0.0.1", 1), State.READY, 5, 1.0, 0, "a"]
     Router.listed(desk, [row], True)
