--- a/tests/emulator/test_checks.py
+++ b/tests/emulator/test_checks.py
@@ -185,3 +185,62 @@
         if answered:
             told("answer", "t", 503, b"")
         assert told.after(SLACK).broken == broken
+
+
+def test_what_goes_out_over_a_tenth_of_a_second_after_the_end_of_its_callers_connection_came():
+    def sent(came, wait):
+        told = Told().asked().after(1_000)("left", "t")
+        far = told.rules.connections[1].peer
+        told.after(came)
+        far.end_came_at = told.kernel.now
+        return told.after(wait).hop().broken
+
+    assert not sent(0, 100_000) and sent(0, 100_001) == ["after the end"]
+    assert not sent(40_000, 100_000)  # it lay behind bytes for which there was no room
+
+
+def test_what_discovery_knew_counts_as_told_after_six_seconds_come_or_not():
+    def sent(wait, state="draining"):
+        told = Told()("had", "b0", "s-0", "draining")
+        if state == "up":
+            told("had", "b0", "s-0", "up")
+        return told.after(wait).asked().hop().broken
+
+    assert not sent(6 * S + GRACE + SLACK) and sent(6 * S + GRACE + SLACK + 1) == ["told in time"]
+    assert not sent(20 * S, "up")
+
+
+def test_the_time_told_is_at_most_what_is_left():
+    def told(milliseconds, wait):
+        return Told().asked().after(wait)("hop.told", "t", "s-0", milliseconds).broken
+
+    assert not told(1000, 0) and not told(1000, 150_000) and told(1000, 150_001) == ["time told"]
+    assert not told(500, S // 2)
+    stood = Told().asked()("stalled", "b0/1", S // 2).after(S // 2 + 1)
+    assert not stood("hop.told", "t", "s-0", 1000).broken  # nobody knows how long its bytes lay there
+
+
+def test_what_was_asked_on_a_connection_that_the_balancer_had_shut():
+    def asked(shut_at):
+        told = Told().after(10)
+        told.rules.connections[1].peer.closed_at = told.kernel.now + shut_at
+        return told.asked().hop().broken
+
+    assert asked(-1) == ["after the shutdown"] and not asked(0) and not asked(1)
+
+
+def test_a_process_that_turns_away_all_that_comes_for_four_seconds():
+    def away(count, over, hop_at=None):
+        told = Told()
+        for number in range(count):
+            trace = f"t{number}"
+            told("asked", trace, "query", 1, S)("written", trace)("answer", trace, 503, b"")
+            if number == hop_at:
+                told.asked("query").hop()("made", "t", b"x")("done", "t", "s-0", 2, 200)(
+                    "answer", "t", 200, b"x"
+                )
+            told.after(over // (count - 1))
+        return told.broken
+
+    assert away(17, 4_200_000) == ["serves nobody"]
+    assert not away(17, 3_900_000) and not away(15, 6 * S) and not away(20, 6 * S, hop_at=9)
