--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -2,10 +2,10 @@
 
     python benchmarks/mutants.py --count 100 --seeds 100 --jobs 4 [--root TREE] [--out FILE]
 
-Each mutant is one change: a comparison, `and` for `or`, a sign, `not` left out, a number one more, True for False;
-in a copy of the tree, played over the same seeds until a rule is broken, it crashes, or it takes ten times
-as long as an unchanged one. Prints the share noticed with its 95% interval (Wilson) and those still alive, by
-place; `--out` keeps all as JSON.
+Each mutant is one change in a copy of the tree: a comparison, `and` for `or`, a sign, `not` left out, a
+number one more, True for False. It is played over the same seeds until a rule is broken, it crashes, or it
+takes ten times as long as an unchanged one. Prints the share noticed with its 95% interval (Wilson) and those
+still alive, by place; `--out` keeps all as JSON.
 """
 
 import argparse
