KNOWN-RED.txt: tests known to fail are run, printed and held to failing; three at most

One that passes, a fourth line, a line without cause or issue, or a test that is not there fails the run; eleven tests of it. There is none now.

--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,59 @@
+"""Tests known to fail are run, printed and held to failing; nothing else passes for one."""
+
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+TESTS = "def test_bad():\n    assert False\n\n\ndef test_good(): ...\n\n\ndef test_other(): ...\n"
+BAD = "tests/test_it.py::test_bad | a race | 38\n"
+
+
+def run(folder, known, *arguments, tests=TESTS):
+    (folder / "tests").mkdir()
+    shutil.copy(Path(__file__).with_name("conftest.py"), folder / "tests")
+    (folder / "tests" / "test_it.py").write_text(tests)
+    (folder / "pytest.ini").write_text("[pytest]\n")
+    if known is not None:
+        (folder / "KNOWN-RED.txt").write_text(known)
+    done = subprocess.run(
+        [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", *(arguments or ("tests",))],
+        cwd=folder, capture_output=True, text=True,
+    )  # fmt: skip
+    return done.returncode, done.stdout + done.stderr
+
+
+def test_one_that_fails_as_known_is_printed_and_passed_over(tmp_path):
+    status, out = run(tmp_path, BAD)
+    assert status == 0 and "1 xfailed" in out and "test_bad: a race (38)" in out
+
+
+@pytest.mark.parametrize("known", [None, "", "\n\n"])
+def test_without_any_a_failure_fails_the_run(tmp_path, known):
+    status, out = run(tmp_path, known)
+    assert status == 1 and "1 failed, 2 passed" in out and "known to fail" not in out
+
+
+@pytest.mark.parametrize(
+    ("known", "why"),
+    [
+        ("tests/test_it.py::test_good | a race | 38\n" + BAD, "XPASS(strict)"),
+        (
+            "tests/test_it.py::test_nobody | a race | 38\n" + BAD,
+            "there is no test tests/test_it.py::test_nobody",
+        ),
+        ("tests/test_no.py::test_bad | a race | 38\n" + BAD, "there is no test tests/test_no.py::test_bad"),
+        ("tests/test_it.py::test_bad | | 38\n", "KNOWN-RED.txt:1: not `test | cause | issue`"),
+        ("tests/test_it.py::test_bad\n", "KNOWN-RED.txt:1: not `test | cause | issue`"),
+        (4 * BAD, "KNOWN-RED.txt:4: more than 3"),
+    ],
+)
+def test_what_is_not_exactly_a_known_failure_fails_the_run(tmp_path, known, why):
+    status, out = run(tmp_path, known)
+    assert status != 0 and why in out
+
+
+def test_one_asked_for_by_name_does_not_miss_the_others(tmp_path):
+    assert run(tmp_path, BAD, "tests/test_it.py::test_good")[0] == 0
