--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -5,7 +5,7 @@
 import time
 from contextlib import closing, suppress
 from queue import Queue
-from threading import Event
+from threading import Event, Thread
 
 import pytest
 from helpers import CONF, PATIENCE, Agent, Caller, Upstream, answer, call, entry, logged, program, until
@@ -231,3 +231,50 @@
         process.send_signal(signal.SIGHUP)
         assert process.path in logged(process, "reload.refused")["why"]
         assert Caller(address).ask("submit", "POST")[0] == 200
+
+
+def test_idle_clients_that_fill_the_descriptors_while_discovery_is_away_keep_nobody_out():
+    one, two = Upstream(), Upstream()
+    first = Agent(entry("s-0", one), entry("s-1", two))
+    with program(agent=first, limits={"sockets": 64}) as (address, process, _), closing(one), closing(two):
+        host, port = first.address.split(":")
+        first.close()
+        logged(process, "watch.ended")
+        idle = [
+            socket.create_connection((address.split(":")[0], int(address.split(":")[1]))) for _ in range(100)
+        ]
+        until(lambda: logged(process, "watch.ended"))  # it is tried again, among these
+        back = Agent.__new__(Agent)
+        back.asked, back.watches, back.servers, back.open = Queue(), [], (entry("s-1", two),), []
+        back.sock = socket.create_server((host, int(port)))
+        Thread(target=back.accept, daemon=True).start()
+        with closing(back):
+            while logged(process, "list")["entries"] != 1:  # without s-0: it drains, and is left out
+                pass
+            assert call(process.admin, "/api/ready")[0] == 200
+            for number in range(4):
+                assert Caller(address).ask("submit", "POST", trace=f"t{number}")[0] == 200
+            assert one.came.empty() and two.came.qsize() == 4
+        for sock in idle:
+            sock.close()
+
+
+@pytest.mark.parametrize("more", [[signal.SIGTERM], [signal.SIGHUP], [signal.SIGHUP, signal.SIGTERM]])
+def test_a_second_signal_while_it_ends_changes_nothing(more):
+    go = Event()
+    slow = Upstream(lambda conn, request: go.wait(PATIENCE) and conn.sendall(answer()) is None)
+    with program(slow, conf={"profiles": LONG}) as (address, process, _):
+        caller = Caller(address)
+        caller.send("submit", "POST", b"x", "60000")
+        slow.came.get(timeout=PATIENCE)
+        process.send_signal(signal.SIGTERM)
+        logged(process, "stopping")
+        for number in more:
+            process.send_signal(number)
+        if signal.SIGHUP in more:
+            logged(process, "reloaded")
+        go.set()
+        assert caller.read()[0] == 200 and caller.read() is None
+        caller.sock.close()
+        caller.file.close()
+        assert process.wait(PATIENCE) == 0
