--- a/dahliabend/emulator/checks.py
+++ b/dahliabend/emulator/checks.py
@@ -13,6 +13,7 @@
 UNHEARD = 100_000  # how long a caller's leaving may take to be known
 TOLD = 6_000_000  # after discovery had a change and could be reached, it counts as told
 TOO_LONG = 150_000  # by which the time told to an upstream may be more than what its caller still waits
+READY = 6_000_000  # within which a process that has started takes callers
 ALL_AWAY, MANY = 4_000_000, 15  # a process that turns away all, so many, for so long serves nobody
 KEPT = 60_000_000  # for which an ended request is remembered
 MOST = 20  # violations kept of a run
@@ -92,6 +93,9 @@
             tuple[str, str], int
         ] = {}  # by process and upstream: since when it must not be used
         self.banned: dict[tuple[str, str], int] = {}  # by balancer and upstream
+        self.said_ready: set[str] = set()  # processes that have said once that they are
+        self.fronted: set[str] = set()  # balancers that a front asks whether they are
+        self.asked_until = 0  # and until when it does
         self.turned_away: dict[str, tuple[int, int]] = {}  # by process: since when it sends nothing; how many
         self.could: dict[tuple[str, str], int] = {}  # the same: since when its agent says that it must not
         self.gone: dict[str, tuple[int, str]] = {}  # processes that have ended: when and how
@@ -118,6 +122,7 @@
             "starts", "ended", "stalled", "toppled", "crashed", "exhausted", "unreadable", "had", "hop.told",
         ):  # fmt: skip
             witness.on(kind, getattr(self, kind.replace(".", "_")))
+        witness.on("ready", self.said_ready.add)
 
     def broken(self, rule: str, what: str) -> None:
         if len(self.violations) < MOST:
@@ -471,6 +476,18 @@
         if before is not None:
             self.stalls.setdefault(process.partition("/")[0], []).append((before[0], self.kernel.now))
         self.serving[place] = process
+        self.kernel.at(self.kernel.now + READY, None, self.is_ready, process)
+
+    def is_ready(self, process: str) -> None:
+        stood = any(
+            end > self.kernel.now - READY for _, end in self.stalls.get(process.partition("/")[0], ())
+        )
+        # The last started at its place is asked, where there is a front that asks.
+        asked = self.kernel.now < self.asked_until and process in self.serving.values()
+        if process.partition("/")[0] not in self.fronted or not asked or stood or process in self.gone:
+            return
+        if process not in self.said_ready:
+            self.broken("ready", f"{process} did not say that it is within {READY // 1_000_000} s")
 
     def crashed(self, process: str, why: str) -> None:
         self.broken("crash", f"{process}: {why}")
--- a/dahliabend/emulator/faults.py
+++ b/dahliabend/emulator/faults.py
@@ -327,6 +327,10 @@
         process = self.world.balancers[fault.whom].agent_process
         return lambda: process.run(agent.speak)
 
+    def away(self, fault: Fault):
+        """Silent for long, so that all that is told meanwhile comes late."""
+        return self.silent(fault)
+
     def end_watch(self, fault: Fault) -> None:
         """Twice in a row where the fault is large: the second as soon as the first is open again."""
         balancer = self.world.balancers[fault.whom]
--- a/dahliabend/emulator/peers/discovery.py
+++ b/dahliabend/emulator/peers/discovery.py
@@ -64,9 +64,10 @@
         version -= self.before
         self.version = version
         self.log.append((version, entry))
-        if self.silent:
+        if self.silent and entry["state"] != "up":
             self.unsaid[entry["id"]] = entry["state"]
-        else:
+        else:  # that one is well again may stand in the file from which a process starts meanwhile
+            self.unsaid.pop(entry["id"], None)
             self.witness("had", self.name, entry["id"], entry["state"])
         if entry["state"] == "removed":
             self.entries.pop(entry["id"], None)
--- a/dahliabend/emulator/script.py
+++ b/dahliabend/emulator/script.py
@@ -21,7 +21,7 @@
     "garble", "flap", "cut-zone", "reset-hop", "lose-hop", "kill", "term", "stall", "reload", "drop-class",
     "broken-file", "upgrade", "late", "silent", "end-watch", "wrong", "move", "exclude", "evacuate",
     "half-call", "crowd", "rude", "twice", "slow-dial", "withdraw", "deaf", "whole", "anew", "flood",
-    "behind", "leave",
+    "behind", "leave", "away",
 ]  # fmt: skip
 GROUPS = {
     "upstream": ("hang", "slow", "fail", "crash", "restart", "drain", "refuse", "mute", "vanish", "limit",
@@ -29,13 +29,18 @@
     "zone": ("cut-zone",),
     "hop": ("reset-hop", "lose-hop"),
     "balancer": ("kill", "term", "stall", "reload", "drop-class", "broken-file", "upgrade"),
-    "discovery": ("late", "silent", "end-watch", "wrong", "move", "deaf", "whole", "anew"),
+    "discovery": ("late", "silent", "end-watch", "wrong", "move", "deaf", "whole", "anew", "away"),
     "operator": ("exclude", "evacuate", "half-call"),
     "clients": ("crowd", "rude", "flood", "behind", "leave"),
 }  # fmt: skip
 # Those of the operators' stricter terms, drawn apart: what a seed drew before them it still draws.
-TERMS = ("twice", "slow-dial", "withdraw", "deaf", "whole", "anew", "flood", "behind", "leave")
-UNHEARD = ("deaf", "whole", "anew")  # each with an upstream that is withdrawn soon after, in a longer run
+TERMS = ("twice", "slow-dial", "withdraw", "deaf", "whole", "anew", "flood", "behind", "leave", "away")
+UNHEARD = (
+    "deaf",
+    "whole",
+    "anew",
+    "away",
+)  # each with an upstream that is withdrawn soon after, in a longer run
 GROUP_OF = {what: group for group, kinds in GROUPS.items() for what in kinds}
 EVENTS = {
     "hop.head": "a hop's first byte is written",
@@ -308,6 +313,9 @@
         made.faults.append(Fault("reset", whom=whom, at=Span(at + S // 2)))
     if what == "behind":  # the balancers end their connections meanwhile
         made.faults.append(Fault("term", whom=chance.randrange(world.balancers), at=Span(at + S // 5)))
+    if what == "away":  # a process that starts meanwhile goes by what it knew
+        made.faults[-1].span = Span(8 * S)
+        made.faults.append(Fault("kill", whom=whom, at=Span(at + S // 2), span=Span(300 * MS)))
     if what in UNHEARD:
         soon = Span(at + chance.randrange(50, 900) * MS)
         made.faults.append(Fault("withdraw", whom=chance.randrange(world.upstreams), at=soon))
--- a/dahliabend/emulator/world.py
+++ b/dahliabend/emulator/world.py
@@ -393,6 +393,8 @@
     async def poll(self, balancer: Balancer) -> None:
         status, _ = await call(self.front_process.loop, balancer.place, "GET", "/-/ready")
         (self.front.out.discard if status == 200 else self.front.out.add)(balancer.place)
+        if status == 200 and balancer.process.name not in self.rules.said_ready:
+            self.witness("ready", balancer.process.name)
 
     def arrivals(self) -> None:
         """The load's schedule is laid down before the first request: answers don't slow it."""
@@ -448,6 +450,8 @@
         kernel, spec = self.kernel, self.spec
         self.faults.arm()
         self.arrivals()
+        self.rules.asked_until = self.zero + self.scenario.length
+        self.rules.fronted = {balancer.name for balancer in self.balancers}
         kernel.run(self.zero)
         self.remains.begin()
         if self.every:
--- a/tests/emulator/defects.py
+++ b/tests/emulator/defects.py
@@ -307,6 +307,13 @@
     return instead(Caller, "linger", linger)
 
 
+def wait_for_discovery():
+    """Ready only once a watch has been heard, whatever was known at the start."""
+    real = Router.ready
+    heard = discovery.Stage.HEARD
+    return instead(Router, "ready", lambda self: real(self) and self.discovery.stage is heard)
+
+
 def turn_all_away_after_a_while():
     real = Balancer.take
 
@@ -373,6 +380,7 @@
     "a count begun anew passed over": Defect(pass_over_a_count_begun_anew, ("told in time",), ("anew",)),
     "what a whole list leaves out is kept": Defect(keep_what_a_whole_list_leaves_out, ("drain",), ("whole",)),
     "what was shut served on": Defect(serve_on_what_was_shut, ("after the shutdown",), ("behind",)),
+    "not ready without discovery": Defect(wait_for_discovery, ("ready",), ("away",)),
     "all turned away after a while": Defect(turn_all_away_after_a_while, ("serves nobody",), ("deaf",)),
     "no budget for cold ones, of many balancers": Defect(no_cold_budget, ("cold",), ("crash", "crowd"), 100),
     "an answer before its hop has ended": Defect(
