A repeat whose connection comes up after its window is not sent

Ruled out: the choice of upstream (zones as the list has them) and the window at the choice, which `repeatable` looks at. Now an exchange has a time by which it is to be sent, for a repeat the end of the window of the first attempt that may have run; the dialling is given up then, and `send_on` looks. It never ran, and the request is answered at once.

The new test on real connections (first attempt reset, second one's connection up a second later, window 700 ms) gets 200 on the code before.

--- a/dahliabend/emulator/script.py
+++ b/dahliabend/emulator/script.py
@@ -309,7 +309,12 @@
     if what == "slow-dial":
         world.dial, load.leave = Span(chance.choice((75, 400, 900)) * MS), 0.4
         world.may_cancel = world.may_cancel and chance.random() < 0.5
-        made.faults[-1].at = Span(chance.randrange(200) * MS)  # most connections come up in the first seconds
+        # Repeats, and windows that end while their connections come up.
+        world.repeat_window, load.marked = Span(chance.choice((150, 400, 1_200)) * MS), 0.4
+        made.faults.append(
+            Fault("fail", whom=chance.randrange(most), at=Span(at), span=Span(2 * S), size=0.5)
+        )
+        made.faults[-2].at = Span(chance.randrange(200) * MS)  # most connections come up in the first seconds
         made.faults.append(Fault("reset", whom=whom, at=Span(at + S // 2)))
     if what == "behind":  # the balancers end their connections meanwhile
         made.faults.append(Fault("term", whom=chance.randrange(world.balancers), at=Span(at + S // 5)))
--- a/dahliabend/net/routing/router.py
+++ b/dahliabend/net/routing/router.py
@@ -4,7 +4,7 @@
 
 from dahliabend.config import Node
 from dahliabend.decide import Balancer, Transaction
-from dahliabend.model import Outcome, State
+from dahliabend.model import Effect, Outcome, State
 from dahliabend.net.protocol.callers import Caller
 from dahliabend.net.protocol.discovery import Discovery
 from dahliabend.net.protocol.headers import EXPIRES, TRACE
@@ -49,12 +49,22 @@
                 hop.unsend()
 
 
+def repeat_until(handle: Transaction | None) -> int:
+    """Until when its newest hop may go out beside earlier ones that may have run: their group remembers them
+    for the repeat window, which goes on while a connection comes up."""
+    if handle is None or handle.kind.effect is not Effect.JOURNALLED:
+        return FAR
+    risk = handle.risk()
+    return FAR if risk is None or risk is handle.hops[-1] else risk.sent + handle.kind.repeat_window
+
+
 class Hop(Exchange):
     """One sending of a transaction."""
 
     def __init__(self, router: "Router", request: Request, upstream, timeout: int) -> None:
         self.upload = request.upload
         super().__init__(upstream, request.head, request.body, timeout)
+        self.send_by = min(self.until, repeat_until(request.handle))
         self.router, self.request, self.order = router, request, len(request.hops)
         self.flowing, self.moved, self.first = False, 0, 0  # `first`: when a long answer's first byte came
         self.hurry: list | None = None
--- a/dahliabend/net/routing/upstreams.py
+++ b/dahliabend/net/routing/upstreams.py
@@ -33,7 +33,7 @@
         self.link: Link | None = None
         self.dialing: asyncio.Task | None = None
         self.phase, self.why, self.rested = Phase.ASKED, "", 0  # `rested`: how long its connection was idle
-        self.until = self.sent + timeout
+        self.until = self.send_by = self.sent + timeout  # `send_by`: not put on a connection from then on
         self.deadline: list | None = None
 
     def ended(self, outcome: Outcome, took: int, answer: tuple | None) -> None:
@@ -68,13 +68,13 @@
             self.dialing.add_done_callback(lambda _: link.never_came_up())
 
     async def connect(self, table: "UpstreamTable", link: Link) -> None:
-        limit = table.deadlines.at(min(self.until, self.sent + table.dial_time), self.dialing.cancel)
+        limit = table.deadlines.at(min(self.send_by, self.sent + table.dial_time), self.dialing.cancel)
         try:
             await dial(table.deadlines.loop, self.upstream.address, link)
         except (OSError, asyncio.CancelledError) as error:
             self.why = f"connect: {error or 'no answer'}"
             # Out of its own time before the connection was: nothing to hold against the upstream.
-            late = self.until <= min(clock(), self.sent + table.dial_time)
+            late = self.send_by <= min(clock(), self.sent + table.dial_time)
             return self.end(Outcome.MOOT if late else Outcome.UNREACHABLE)
         finally:
             table.deadlines.drop(limit)
@@ -86,10 +86,10 @@
         """The one way onto a connection. Since its upstream was chosen the connection may have taken long to
         come up: what was called off, is awaited by nobody, is out of time, or whose upstream has begun to
         drain, is not sent, and the connection is as good as new."""
-        left, unsent = self.until - clock(), None
+        now, unsent = clock(), None
         if not self.awaited():
             unsent = Outcome.CANCELLED
-        elif left <= 0:
+        elif now >= self.send_by:
             unsent = Outcome.MOOT
         elif not self.upstream.wanted:
             self.why, unsent = "not to be sent to any more", Outcome.UNREACHABLE
@@ -97,7 +97,7 @@
             self.upstream.free(link)
             return self.end_soon(unsent)
         self.phase, self.link = Phase.SENT, link
-        link.ask(self, self.head_for(left), self.body, self.upload)
+        link.ask(self, self.head_for(self.until - now), self.body, self.upload)
 
     # What comes back.
 
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -8,7 +8,20 @@
 from threading import Event, Thread
 
 import pytest
-from helpers import CONF, PATIENCE, Agent, Caller, Upstream, answer, call, entry, logged, program, until
+from helpers import (
+    CONF,
+    PATIENCE,
+    Agent,
+    Caller,
+    Server,
+    Upstream,
+    answer,
+    call,
+    entry,
+    logged,
+    program,
+    until,
+)
 
 LONG = [{**profile, "service-goal": 60_000.0, "hard-limit": 60_000.0} for profile in CONF["profiles"]]
 
@@ -26,12 +39,15 @@
         self.fillers = []
         super().__init__(play)
 
-    def accept(self):
+    def fill(self):
         self.sock.listen(0)
         for _ in range(4):
             self.fillers.append(socket.socket())
             self.fillers[-1].setblocking(False)
             self.fillers[-1].connect_ex(self.sock.getsockname())
+
+    def accept(self):
+        self.fill()
         self.up.set()
         assert Event.wait(self.opened, PATIENCE)
         super().accept()
@@ -50,6 +66,25 @@
         super().close()
 
 
+class LateAfterFirst(Late):
+    """Its first connection comes up at once, and ends with its first request; those after it come up late."""
+
+    def __init__(self):
+        super().__init__(self.first)
+
+    def accept(self):
+        conn, _ = self.sock.accept()
+        Thread(target=self.guard, args=(conn,), daemon=True).start()
+        assert Event.wait(self.opened, PATIENCE)
+        Server.accept(self)
+
+    def first(self, conn, request):
+        if self.opened.is_set():
+            return conn.sendall(answer()) is None
+        self.fill()
+        return False
+
+
 def late(play=None):
     made = Late(play)
     assert made.up.wait(PATIENCE)
@@ -104,6 +139,20 @@
         assert up.came.empty() and other.came.get(timeout=PATIENCE)[1]["x-trace-id"] == "t1"
 
 
+def test_a_repeat_whose_connection_comes_up_after_its_window_is_not_sent():
+    profiles = [{**LONG[0], "name": "book", "semantics": "deduplicated", "dedup-window": 700.0}]
+    conf = {**caps(**{"dial-timeout": 5000.0}), "profiles": profiles}
+    with program(up := LateAfterFirst(), conf=conf) as (address, _, _):
+        caller = Caller(address)
+        caller.send("book", "POST", b"x", "8000")
+        up.came.get(timeout=PATIENCE)
+        time.sleep(0.3)  # the repeat's first packet is dropped meanwhile; the next one comes after the window
+        up.open_up()
+        assert caller.read()[0] == 503
+        assert Caller(address).ask("book", "POST", b"y", "8000", "t2")[0] == 200
+        assert [up.came.get(timeout=PATIENCE)[1]["x-trace-id"] for _ in range(up.came.qsize())] == ["t2"]
+
+
 def test_the_time_told_is_what_is_left_once_the_connection_is_up():
     up = late()
     with program(up, conf=caps(**{"dial-timeout": 5000.0})) as (address, process, _):
