--- a/dahliabend/emulator/peers/discovery.py
+++ b/dahliabend/emulator/peers/discovery.py
@@ -178,7 +178,7 @@
             self.agent.witness("told", self.peer, name, "removed")  # a whole list says so by leaving it out
 
     def line(self, text: bytes) -> None:
-        if not self.transport.is_closing() and self.open:
+        if not self.transport.is_closing() and self.open and not self.deaf:
             self.transport.write(b"%x\r\n%b\r\n" % (len(text), text))
 
     def connection_lost(self, error) -> None:
--- a/dahliabend/emulator/peers/upstream.py
+++ b/dahliabend/emulator/peers/upstream.py
@@ -48,15 +48,23 @@
     """One process of an upstream, from its start until it ends. What it does wrong is in its switches."""
 
     def __init__(
-        self, spec: UpstreamSpec, loop, witness: Callable, chance: Random, born: int, told: Callable[[], bool]
+        self,
+        spec: UpstreamSpec,
+        loop,
+        witness: Callable,
+        chance: Random,
+        born: int,
+        told: Callable[[str], bool],
     ) -> None:
         self.spec, self.loop, self.witness, self.chance = spec, loop, witness, chance
         self.born = born  # microseconds of the loop's clock; 0: long ago, it is warm
-        self.told = told  # do the balancers know of its start?
+        self.told = told  # does that balancer know of its start? "": do all?
         self.running = 0
         self.queue: deque[Job] = deque()
         self.connections: set[Connection] = set()
-        self.sent: deque[tuple[int, int]] = deque()  # while cold: when and how much work came
+        self.sent: deque[tuple[int, int, bool]] = (
+            deque()
+        )  # while cold: when, how much work, and from one told
         self.pressure = 0
         self.made = 0
         # Switches, for faults.
@@ -82,25 +90,26 @@
             return 1.0
         return spec.cold_share + (1 - spec.cold_share) * age / spec.cold
 
-    def press(self, work: int) -> None:
+    def press(self, work: int, caller: str) -> None:
         """Every bit of work that comes counts, also what is turned away."""
         now, spec, warm = self.now(), self.spec, self.warmth()
         if warm >= 1.0:
             self.sent.clear()
             self.pressure = 0
             return
-        self.sent.append((now, work))
+        self.sent.append((now, work, self.told(caller.partition("/")[0])))
         self.pressure += work
         while self.sent[0][0] <= now - spec.fall_window:
             self.pressure -= self.sent.popleft()[1]
         bears = warm * spec.cores * spec.fall_window
-        most = spec.fall_multiple * bears
-        if spec.chance:
-            mean = spec.work * 9 / 8
-            most += mean * (2 * (most / mean) ** 0.5 + 2)
-        if self.pressure > most and not self.fallen:
+        over, told = self.pressure > spec.fall_multiple * bears, self.told("")
+        if spec.chance:  # in jobs of mean work: what single ones happen to take is nobody's to know
+            jobs, came = spec.fall_multiple * bears / (spec.work * 9 / 8), len(self.sent)
+            over = came > jobs + 2 * jobs**0.5 + 2
+            told = 3 * sum(knew for _, _, knew in self.sent) > 2 * came
+        if over and not self.fallen:
             self.fallen = self.hung = True
-            if self.told():
+            if told:
                 self.witness("toppled", self.spec.name, self.pressure / bears)
 
     # Jobs.
@@ -110,7 +119,7 @@
         self.witness("begun", trace, spec.name, connection.number)
         factor = 1.5 if name == "submit" else 1.0
         work = int(spec.work * factor * self.chance.expovariate(1.0)) + spec.work // 8
-        self.press(work)
+        self.press(work, connection.transport.get_extra_info("caller", ""))
         if self.hung:
             connection.busy = True
             return
