Settled connections are found by a search, not by a walk over those that still settle

They lie in the order in which they came to rest; a binary search finds the latest that has settled, and each found is looked at as before, since one just closed has no time of its own.

--- a/dahliabend/net/routing/upstreams.py
+++ b/dahliabend/net/routing/upstreams.py
@@ -1,6 +1,7 @@
 """One record an upstream: its address, its connections, and how it is asked."""
 
 import asyncio
+from bisect import bisect_right
 from collections.abc import Callable
 from enum import IntEnum
 
@@ -170,13 +171,17 @@
 
     def rested(self, now: int) -> tuple[Link | None, int]:
         """A connection at rest, if one is surely still open at the other end, and for how long it was."""
-        for at in reversed(range(len(self.resting))):
-            link = self.resting[at]
-            idle = now - self.table.descriptors.idle.get(link.number, 0)
+        since = self.table.descriptors.idle
+        # A second answer may come some milliseconds late: it would be taken for the next one's. Those that
+        # came to rest later stand behind, many where requests come fast: they are not looked at one by one.
+        settled = bisect_right(self.resting, now - self.table.settle, key=lambda k: since.get(k.number, 0))
+        while settled:
+            settled -= 1
+            link = self.resting[settled]
+            idle = now - since.get(link.number, 0)
             if idle < self.table.settle and not link.closed:
-                # A second answer may come some milliseconds late: it would be taken for the next one's.
-                continue
-            del self.resting[at]
+                continue  # one just closed has no time of its own, and may lead the search astray
+            del self.resting[settled]
             # Bytes that nobody asked for, read after the next request, would pass for its answer.
             if not link.closed and idle < self.table.rest and link.waiting() is None:
                 self.table.descriptors.busy(link.number)
