Emulator: who was told of a cold start is asked only as one falls; two lines as one would write them

Read-through: all agents were asked at each job of a cold upstream, before it was known whether it falls.

--- a/dahliabend/emulator/peers/upstream.py
+++ b/dahliabend/emulator/peers/upstream.py
@@ -31,9 +31,7 @@
     fall_window: int = 1_000_000
     rest: int = 2_000_000  # idle connections are closed after that
     may_probe: bool = True
-    chance: bool = (
-        False  # of many balancers: it falls beyond N + 2 root of N + 2 jobs, N being what is allowed
-    )
+    chance: bool = False  # of many balancers: it falls beyond N + 2 root of N + 2 jobs, N being allowed
 
 
 class Job:
@@ -102,14 +100,13 @@
         while self.sent[0][0] <= now - spec.fall_window:
             self.pressure -= self.sent.popleft()[1]
         bears = warm * spec.cores * spec.fall_window
-        over, told = self.pressure > spec.fall_multiple * bears, self.told("")
+        over, came = self.pressure > spec.fall_multiple * bears, len(self.sent)
         if spec.chance:  # in jobs of mean work: what single ones happen to take is nobody's to know
-            jobs, came = spec.fall_multiple * bears / (spec.work * 9 / 8), len(self.sent)
+            jobs = spec.fall_multiple * bears / (spec.work * 9 / 8)
             over = came > jobs + 2 * jobs**0.5 + 2
-            told = 3 * sum(knew for _, _, knew in self.sent) > 2 * came
         if over and not self.fallen:
             self.fallen = self.hung = True
-            if told:
+            if 3 * sum(knew for *_, knew in self.sent) > 2 * came if spec.chance else self.told(""):
                 self.witness("toppled", self.spec.name, self.pressure / bears)
 
     # Jobs.
--- a/dahliabend/emulator/script.py
+++ b/dahliabend/emulator/script.py
@@ -35,12 +35,8 @@
 }  # fmt: skip
 # Those of the operators' stricter terms, drawn apart: what a seed drew before them it still draws.
 TERMS = ("twice", "slow-dial", "withdraw", "deaf", "whole", "anew", "flood", "behind", "leave", "away")
-UNHEARD = (
-    "deaf",
-    "whole",
-    "anew",
-    "away",
-)  # each with an upstream that is withdrawn soon after, in a longer run
+# Each with an upstream that is withdrawn soon after, in a longer run.
+UNHEARD = ("deaf", "whole", "anew", "away")
 GROUP_OF = {what: group for group, kinds in GROUPS.items() for what in kinds}
 EVENTS = {
     "hop.head": "a hop's first byte is written",
