Review, case 3: smaller bodies, and the cases end their processes when they are ended

Cause: with bodies of 3 MiB the clients' systems have to hold 2.4 MB for the case to work as meant; a case that was ended from outside left its balancer running.

Change: bodies of 2 MiB, still read in 5 s by one upstream of four; SIGTERM and SIGINT end a case as its alarm does, with its processes.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -26,7 +26,7 @@
 
 UPSTREAMS = 4
 SLOW = 0  # number of the upstream that reads slowly
-BODY = 3 * 1024 * 1024  # bytes
+BODY = 2 * 1024 * 1024  # bytes
 PIECE = 32 * 1024  # bytes that an upstream reads at a time
 READING_TIME = 5.0  # seconds that the slow upstream takes for a body
 WORK = 0.05  # seconds
--- a/review/common.py
+++ b/review/common.py
@@ -370,8 +370,8 @@
     }
 
 
-def _out_of_time(_signal: int, _frame: object) -> None:
-    raise CaseError(f"not finished after {RUN_TIME} s")
+def _interrupted(number: int, _frame: object) -> None:
+    raise CaseError(f"ended by signal {number} (an alarm after {RUN_TIME} s, or from outside)")
 
 
 def run_case(folder: Path, case: Callable[[Record, bool], bool]) -> None:
@@ -383,7 +383,8 @@
     """
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    signal.signal(signal.SIGALRM, _out_of_time)
+    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _interrupted)
     signal.alarm(RUN_TIME)
     try:
         record(f"the disruption is {'played' if trouble else 'left out'}")
