--- a/review/1/case.py
+++ b/review/1/case.py
@@ -36,7 +36,7 @@
 PERIOD = 0.1  # seconds between two requests of a client
 BEFORE = 2.0  # seconds of traffic before the new file
 SETTLE = 1.2  # seconds from SIGHUP until the new settings bind
-AFTER = 18.0  # seconds of traffic from then on
+AFTER = 16.5  # seconds of traffic from then on
 
 
 class Cells:
