Reload: compare the keys of list entries and of every table with the file in force

Cause: `_present_keys` looked at the file, at `settings` and at the tables in it. Keys of the entries of `profiles` and `tenants`, and of `limits`, were not compared, so the schema's default took the place of a lost key: for `group` the widest scope. Evidence: with the key taken out the reader returns scope `all` and raises nothing, the log has reload.applied alone; with the key in the file and the same failing upstream nothing ran twice.

Change: config/present_keys.py collects the keys of all tables at any depth; an entry is identified by its name, and may be added or removed as a whole. A class that becomes deduplicated needs group and dedup-window. Tenants need names, used once; a negative dedup-window is a fault. Same cause elsewhere: an operator's file may not lose `group`, `balancers`, `cold`, `cell` or `zone` at a reload; a `removed` list entry without cell and zone leaves both as they were.

Not done: a process that starts has no file in force to compare with.

--- a/dahliabend/config/operator_file/source.py
+++ b/dahliabend/config/operator_file/source.py
@@ -83,7 +83,11 @@
         """Return the path of a file that the settings name relative to the top file."""
         return os.path.join(os.path.dirname(self.top), name)
 
+    def fault(self, key: Key, reason: str) -> Fault:
+        """Return a fault at the place of a key."""
+        place = self.place(key)
+        return Fault(place.file, place.line, format_key(key), reason)
+
     def add_fault(self, key: Key, reason: str) -> None:
         """Add a fault at the place of a key."""
-        place = self.place(key)
-        self.faults.append(Fault(place.file, place.line, format_key(key), reason))
+        self.faults.append(self.fault(key, reason))
--- a/dahliabend/config/platform.py
+++ b/dahliabend/config/platform.py
@@ -11,10 +11,11 @@
 
 from dahliabend.config.address import parse_address
 from dahliabend.config.platform_schema import LoadReportSection, PlatformFile
-from dahliabend.config.policy_settings import check_range, make_policy_settings, to_microseconds
+from dahliabend.config.policy_settings import DEDUPLICATED, check_range, make_policy_settings, to_microseconds
+from dahliabend.config.present_keys import entry_key, missing_keys, present_keys
 from dahliabend.config.server_settings import IDLE_REUSE_RATIO, ServerSettings
 from dahliabend.errors import ConfigurationError
-from dahliabend.model import PolicySettings
+from dahliabend.model import Idempotency, PolicySettings
 from dahliabend.transport import host_info
 
 DEFAULT_NAME = "dahliabend"
@@ -24,16 +25,18 @@
 MAX_SETTING = 1e9  # upper bound of times in milliseconds and of the number of requests in flight
 MAX_DESCRIPTOR_DIGITS = 9  # of the descriptor number in PROXY_FD
 HEALTH_CHECK_REPORT_SOURCE = "on_probe"
+PROFILES_KEY = "settings.profiles"
+DEDUPLICATION_KEYS = ("group", "dedup-window")  # of a request class
 
 
 def read_server_settings(
-    environment: Mapping[str, str], required_keys: frozenset[str] = frozenset()
+    environment: Mapping[str, str], previous: ServerSettings | None = None
 ) -> ServerSettings:
     """Read the file that PROXY_CONFIG names; environment variables override its values.
 
     Args:
         environment: The environment variables of this process.
-        required_keys: Dotted keys that the file has to contain.
+        previous: The settings of the file in force, which the file replaces; None at the start.
 
     Raises:
         ConfigurationError: The file cannot be read, or a value is invalid.
@@ -46,51 +49,79 @@
     except OSError as error:
         raise ConfigurationError("PROXY_CONFIG", f"{path}: {error.strerror}") from None
     try:
-        return _parse_file(text, environment, required_keys)
+        return _parse_file(text, environment, previous)
     except ConfigurationError as error:
         raise ConfigurationError(error.key, error.reason, path) from None
     except ValueError as error:  # of msgspec, whose message names the key
         raise ConfigurationError("", str(error), path) from None
 
 
-def reread_server_settings(environment: Mapping[str, str], required_keys: frozenset[str]) -> ServerSettings:
+def reread_server_settings(environment: Mapping[str, str], previous: ServerSettings) -> ServerSettings:
     """Read the file again for a reload.
 
     PROXY_DISCOVERY is ignored, because it still has the address from the start of the process. The file has
-    to contain every key of the file in force: if one was removed by mistake, its default would be applied
-    unnoticed.
+    to contain every key of the file in force, except those of request classes and tenants that it removes: if
+    one was removed by mistake, its default would be applied unnoticed.
 
     Args:
         environment: The environment variables of this process.
-        required_keys: Dotted keys that the file in force contains.
+        previous: The settings of the file in force.
 
     Raises:
         ConfigurationError: The file cannot be read, or a value is invalid.
     """
-    return read_server_settings({**environment, "PROXY_DISCOVERY": ""}, required_keys)
+    return read_server_settings({**environment, "PROXY_DISCOVERY": ""}, previous)
 
 
-def _parse_file(text: bytes, environment: Mapping[str, str], required_keys: frozenset[str]) -> ServerSettings:
+def _parse_file(
+    text: bytes, environment: Mapping[str, str], previous: ServerSettings | None
+) -> ServerSettings:
     tree = msgspec.json.decode(text)
     file = msgspec.convert(tree, PlatformFile)
-    present_keys = _present_keys(tree)
-    missing_keys = sorted(required_keys - present_keys)
-    if missing_keys:
-        raise ConfigurationError(missing_keys[0], "missing")
+    keys = present_keys(tree)
+    if previous is not None:
+        _check_required_keys(keys, previous)
     policy_settings = make_policy_settings(file.settings, "settings.")
     _check_numbers(file)
     _check_profiles(file)
+    _check_tenants(file)
+    if previous is not None:
+        _check_new_deduplication(file, keys, previous)
     _check_known_endpoints(file.known_endpoints)
     if file.log_level not in LOG_LEVELS:
         raise ConfigurationError("log", f"{file.log_level!r} is neither info nor debug")
-    return _make_server_settings(file, environment, policy_settings, present_keys)
+    return _make_server_settings(file, environment, policy_settings, keys)
+
+
+def _check_required_keys(keys: frozenset[str], previous: ServerSettings) -> None:
+    missing = missing_keys(previous.present_keys, keys)
+    if missing:
+        raise ConfigurationError(missing[0], "missing")
+
+
+def _check_new_deduplication(file: PlatformFile, keys: frozenset[str], previous: ServerSettings) -> None:
+    """Check that a class that becomes deduplicated says where and for how long repeats are dropped."""
+    for profile in file.settings.profiles:
+        if profile.effect != DEDUPLICATED or _is_deduplicated(previous, profile.name):
+            continue
+        for name in DEDUPLICATION_KEYS:
+            key = f"{entry_key(PROFILES_KEY, profile.name)}.{name}"
+            if key not in keys:
+                raise ConfigurationError(key, "missing from a class that becomes deduplicated")
+
+
+def _is_deduplicated(settings: ServerSettings, class_name: str) -> bool:
+    index = settings.class_indices.get(class_name.encode())
+    if index is None:
+        return False
+    return settings.settings.request_classes[index].effect is Idempotency.DEDUPLICATED
 
 
 def _make_server_settings(
     file: PlatformFile,
     environment: Mapping[str, str],
     policy_settings: PolicySettings,
-    present_keys: frozenset[str],
+    keys: frozenset[str],
 ) -> ServerSettings:
     seed = _parse_seed(file.seed)
     descriptor = _inherited_descriptor(environment)
@@ -121,7 +152,7 @@
         max_in_flight=section.capabilities.max_in_flight,
         report_fields=_report_fields(section.load_report),
         unsupported_keys=_unsupported_keys(file),
-        present_keys=present_keys,
+        present_keys=keys,
         monotonic_offset=host_info.monotonic_ns() // 1000 - host_info.time_ns() // 1000,
     )
 
@@ -131,20 +162,6 @@
     return environment.get(variable) or text
 
 
-def _present_keys(tree: dict[str, Any]) -> frozenset[str]:
-    """Return the dotted keys that a file contains, down to the keys of the tables in `settings`.
-
-    >>> sorted(_present_keys({"listen": "", "settings": {"caps": {"most-hops": 1}, "fees": {}}}))
-    ['listen', 'settings', 'settings.caps', 'settings.caps.most-hops', 'settings.fees']
-    """
-    settings = tree.get("settings") or {}
-    tables = {"": tree, "settings.": settings}
-    for name, value in settings.items():
-        if isinstance(value, dict):
-            tables[f"settings.{name}."] = value
-    return frozenset(prefix + name for prefix, table in tables.items() for name in table)
-
-
 def _check_numbers(file: PlatformFile) -> None:
     capabilities = file.settings.capabilities
     check_range("limits.sockets", file.limits.descriptors, MIN_DESCRIPTORS, MAX_DESCRIPTORS)
@@ -156,7 +173,7 @@
 def _check_profiles(file: PlatformFile) -> None:
     names: set[str] = set()
     for number, profile in enumerate(file.settings.profiles):
-        key = f"settings.profiles[{number}]"
+        key = f"{PROFILES_KEY}[{number}]"
         if not profile.name or profile.name in names:
             raise ConfigurationError(f"{key}.name", f"{profile.name!r} is empty or used before")
         if profile.is_stream:
@@ -164,6 +181,15 @@
         names.add(profile.name)
 
 
+def _check_tenants(file: PlatformFile) -> None:
+    names: set[str] = set()
+    for number, tenant in enumerate(file.settings.tenants):
+        if not tenant.name or tenant.name in names:
+            key = f"settings.tenants[{number}].name"
+            raise ConfigurationError(key, f"{tenant.name!r} is empty or used before")
+        names.add(tenant.name)
+
+
 def _check_known_endpoints(known_endpoints: dict[str, Any]) -> None:
     if known_endpoints and not isinstance(known_endpoints.get("version"), int):
         raise ConfigurationError("known.version", "missing, or no whole number")
--- a/dahliabend/config/policy_settings.py
+++ b/dahliabend/config/policy_settings.py
@@ -1,5 +1,7 @@
 """Conversion of the platform's JSON settings to the policy's: values are checked and units converted."""
 
+import math
+
 import msgspec
 
 from dahliabend.config.platform_schema import PolicySection, ProfileSection
@@ -12,9 +14,10 @@
 MIN_MILLISECONDS = 0.001  # one microsecond
 MAX_WEIGHT = 1e6
 
+DEDUPLICATED = "deduplicated"
 EFFECTS = {
     "idempotent": Idempotency.IDEMPOTENT,
-    "deduplicated": Idempotency.DEDUPLICATED,
+    DEDUPLICATED: Idempotency.DEDUPLICATED,
     "at_most_once": Idempotency.NON_IDEMPOTENT,
 }
 DEDUPLICATION_SCOPES = {
@@ -119,6 +122,7 @@
         raise ConfigurationError(f"{key}.group", f"{profile.deduplication_scope!r} is unknown")
     check_range(f"{key}.service-goal", profile.latency_objective, MIN_MILLISECONDS, MAX_MILLISECONDS)
     check_range(f"{key}.hard-limit", profile.deadline, MIN_MILLISECONDS, MAX_MILLISECONDS)
+    check_range(f"{key}.dedup-window", profile.deduplication_window, 0, math.inf)
     return RequestClass(
         effect=EFFECTS[profile.effect],
         deduplication_scope=DEDUPLICATION_SCOPES[profile.deduplication_scope],
--- a/dahliabend/config/server_settings.py
+++ b/dahliabend/config/server_settings.py
@@ -36,7 +36,7 @@
         max_in_flight: The maximum number of requests in flight.
         report_fields: The names of the load report fields in health check responses.
         unsupported_keys: The keys of settings that enable features this program does not have.
-        present_keys: The dotted keys that the file contains.
+        present_keys: The dotted keys that the file contains, in the form of `config.present_keys`.
         monotonic_offset: The machine's monotonic time minus Unix time.
     """
 
--- a/dahliabend/proxy/endpoint.py
+++ b/dahliabend/proxy/endpoint.py
@@ -75,8 +75,9 @@
             monotonic_offset: Monotonic time minus Unix time (us).
         """
         self.weight = entry.weight
-        self.cell = entry.cell
-        self.zone = entry.zone
+        if entry.state is not EndpointState.REMOVED:  # such an entry may leave out cell and zone
+            self.cell = entry.cell
+            self.zone = entry.zone
         self.started_at = 0
         if entry.started_ms:
             started_at = entry.started_ms * MICROSECONDS_PER_MILLISECOND + monotonic_offset
--- a/dahliabend/server/operator_file_loading.py
+++ b/dahliabend/server/operator_file_loading.py
@@ -10,6 +10,7 @@
 from dahliabend.errors import DahliabendError
 from dahliabend.http.headers import MAX_BODY_BYTES
 from dahliabend.routing_rules.loaded_file import LoadedFile, load_file
+from dahliabend.routing_rules.removed_keys import removed_key_faults
 from dahliabend.server.server import Address
 from dahliabend.transport import host_info
 
@@ -59,6 +60,25 @@
     return UsableFile(loaded, loaded.file)
 
 
+def reload_usable_file(path: str, environment: Mapping[str, str], in_force: UsableFile) -> UsableFile:
+    """Read and check a file that is to replace the one in force.
+
+    Args:
+        path: The path of the file.
+        environment: The environment variables that the file may refer to.
+        in_force: The file in force.
+
+    Raises:
+        InvalidOperatorFileError: The file has faults, requires a library that is not installed, or lacks a
+            key of the file in force whose default would loosen a rule.
+    """
+    usable = load_usable_file(path, environment)
+    faults = removed_key_faults(in_force.loaded.source, usable.loaded.source)
+    if faults:
+        raise InvalidOperatorFileError(faults)
+    return usable
+
+
 def listener_address(file: OperatorFile, name: str) -> Address | None:
     """Return the address of a listener; None if the file does not configure it."""
     listener = file.listeners.get(name)
--- a/dahliabend/server/operator_file_server.py
+++ b/dahliabend/server/operator_file_server.py
@@ -21,6 +21,7 @@
     UsableFile,
     listener_address,
     load_usable_file,
+    reload_usable_file,
     unsupported_keys,
 )
 from dahliabend.server.pool_manager import PoolManager, PoolResources
@@ -150,7 +151,7 @@
     def reload(self) -> None:
         """Read the file again and apply it; an invalid file changes nothing."""
         reload_configuration(
-            lambda: load_usable_file(self.path, self.environment),
+            lambda: reload_usable_file(self.path, self.environment, self.configuration),
             self._apply_reloaded,
             _describe_faults,
             metrics=self.metrics,
--- a/dahliabend/server/platform_server.py
+++ b/dahliabend/server/platform_server.py
@@ -5,6 +5,7 @@
 
 import os
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import Any
 
 from dahliabend.config.platform import reread_server_settings
@@ -49,8 +50,7 @@
         )
         self.environment = environment
         self._listener_descriptor = settings.listener_descriptor
-        self._present_keys = settings.present_keys
-        self._policy_inputs = settings.policy_inputs
+        self._settings = replace(settings, known_endpoints={})
         self.max_request_time = max(settings.class_deadlines)
         endpoint_resources = EndpointResources(
             self.timers, self.descriptors, settings.connect_timeout, settings.idle_reuse_time, log.debug
@@ -161,7 +161,7 @@
         An invalid file changes nothing.
         """
         reload_configuration(
-            lambda: reread_server_settings(self.environment, self._present_keys),
+            lambda: reread_server_settings(self.environment, self._settings),
             self._apply,
             lambda error: {"reason": str(error)},
             metrics=self.metrics,
@@ -170,9 +170,10 @@
 
     def _apply(self, settings: ServerSettings) -> dict[str, object]:
         self.log.verbose = settings.verbose
-        self._present_keys = settings.present_keys
+        previous = self._settings
+        self._settings = replace(settings, known_endpoints={})  # used at the start only
         self.discovery.change_address(settings.discovery)
-        if settings.policy_inputs != self._policy_inputs:
+        if settings.policy_inputs != previous.policy_inputs:
             self._apply_policy_inputs(settings)
         return {"discovery": ":".join(map(str, settings.discovery)), "debug": settings.verbose}
 
@@ -180,7 +181,6 @@
         """Replace the router's policy settings without interrupting service."""
         # Requests of clients connected before the reload may last as long as either settings allow.
         self.max_request_time = max(self.max_request_time, *settings.class_deadlines)
-        self._policy_inputs = settings.policy_inputs
         table = self.router.table
         table.resources.connect_timeout = settings.connect_timeout
         table.resources.idle_timeout = settings.idle_reuse_time
--- a/tests/pins/test_platform_config.py
+++ b/tests/pins/test_platform_config.py
@@ -125,16 +125,16 @@
 
 
 def read_file(
-    tree: object, variables: Mapping[str, str] | None = None, reread: frozenset[str] | None = None
+    tree: object, variables: Mapping[str, str] | None = None, previous: ServerSettings | None = None
 ) -> ServerSettings:
-    """Read a configuration file with this content; `reread` has the keys of the previous file at a reload."""
+    """Read a configuration file with this content; `previous` has the settings in force at a reload."""
     with tempfile.TemporaryDirectory() as directory:
         path = Path(directory) / "proxy.json"
         path.write_text(json.dumps(tree))
         environment = {"PROXY_CONFIG": str(path), **(variables or {})}
         try:
-            if reread is not None:
-                return config.reread_server_settings(environment, reread)
+            if previous is not None:
+                return config.reread_server_settings(environment, previous)
             return config.read_server_settings(environment)
         except ValueError as error:
             raise ValueError(str(error).replace(str(path), "FILE")) from None
@@ -213,14 +213,13 @@
 def produce_reload_faults() -> str:
     """Return the message for each key that is missing from a reloaded file but was in the previous one."""
     tree = json.loads(read_golden(INPUT))
-    previous_keys = read_file(tree).present_keys
+    previous = read_file(tree)
     messages = {}
     for path in paths(tree):
-        name = ".".join(map(str, path))
-        if name in previous_keys:
+        if isinstance(path[-1], str):
             without_key = with_value(tree, path, MISSING)
-            messages[name] = message_of(
-                lambda without_key=without_key: read_file(without_key, reread=previous_keys)
+            messages[".".join(map(str, path))] = message_of(
+                lambda without_key=without_key: read_file(without_key, previous=previous)
             )
     return as_json(messages)
 
--- a/tests/proxy/test_endpoint_table.py
+++ b/tests/proxy/test_endpoint_table.py
@@ -13,7 +13,7 @@
 from fake_transport import feed
 from helpers import S
 
-from dahliabend.discovery.endpoint_list import EndpointListEntry
+from dahliabend.discovery.endpoint_list import EndpointListEntry, parse_endpoint
 from dahliabend.http.upstream_connection import UpstreamConnection
 from dahliabend.model import EndpointState, Outcome
 from dahliabend.proxy.policy_port import PolicyPort
@@ -152,3 +152,12 @@
     entry = entry._replace(started_ms=(clock() + S) // 1000)
     Router.endpoints_changed(router, [entry], False)
     assert updates[4][2] == entry.started_ms * 1000
+
+
+# Guards against a default in place of a key: a removed endpoint that is still used keeps its scopes.
+def test_an_entry_of_a_removed_endpoint_leaves_its_cell_and_zone_as_they_were():
+    endpoint = endpoint_table().get_or_create("s-1")
+    entry = {"id": "s-1", "addr": "127.0.0.1:80", "state": "up", "zone": "b", "cell": 3}
+    endpoint.update(parse_endpoint(entry), 0)
+    endpoint.update(parse_endpoint({"id": "s-1", "state": "removed"}), 0)
+    assert (endpoint.cell, endpoint.zone) == (3, "b")
--- a/tests/routing_rules/test_service.py
+++ b/tests/routing_rules/test_service.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import re
 import signal
 import sys
 from collections import Counter
@@ -13,6 +14,11 @@
 from helpers import free_addresses
 
 from dahliabend.routing_rules.weighted_split import WeightedSplit
+from dahliabend.server.operator_file_loading import (
+    InvalidOperatorFileError,
+    load_usable_file,
+    reload_usable_file,
+)
 from dahliabend.simulation.operator_file_simulation import FAULT_KINDS, OperatorFileSimulation
 from dahliabend.simulation.peers.client_request import ClientRequest
 from dahliabend.simulation.peers.clients import Clients
@@ -325,6 +331,77 @@
     assert simulation.program.metrics.configs_accepted == 0
 
 
+DEDUPLICATED_CLASS = """
+[classes.book]
+effect = "journalled"
+service-goal = "400ms"
+hard-limit = "1s"
+group = "cell"
+repeat-window = "8s"
+"""
+POOL_OF_CELLS = """
+[pools.main]
+balancers = 4
+cold = { share = "25%", time = "20s" }
+members = [
+  { id = "m-0", address = "10.1.4.1:80", cell = 1 },
+  { id = "m-1", address = "10.1.4.2:80", cell = 2 },
+]
+"""
+GUARDED_TABLES = DEDUPLICATED_CLASS + POOL_OF_CELLS + route("all", 'pool = "main"', class_name="book")
+
+
+# Guards against a default in place of a key that a table or an entry of a list has lost.
+@pytest.mark.parametrize(
+    ("line", "replacement", "key"),
+    [
+        ('group = "cell"\n', "", "classes.book.group"),
+        ("balancers = 4\n", "", "pools.main.balancers"),
+        ('cold = { share = "25%", time = "20s" }\n', "", "pools.main.cold"),
+        (', time = "20s"', "", "pools.main.cold.time"),
+        (", cell = 2", "", "pools.main.members[1].cell"),
+    ],
+)
+def test_a_file_that_lacks_a_key_in_force_whose_default_would_loosen_a_rule_is_rejected(
+    line, replacement, key, tmp_path
+):
+    path = tmp_path / "file.toml"
+    path.write_text(TOP + GUARDED_TABLES)
+    in_force = load_usable_file(str(path), {})
+    path.write_text((TOP + GUARDED_TABLES).replace(line, replacement))
+    with pytest.raises(InvalidOperatorFileError, match=rf"^{path}:\d+: {re.escape(key)}: is missing"):
+        reload_usable_file(str(path), {}, in_force)
+
+
+def test_a_class_or_an_upstream_may_be_removed_as_a_whole(tmp_path):
+    path = tmp_path / "file.toml"
+    path.write_text(TOP + GUARDED_TABLES)
+    in_force = load_usable_file(str(path), {})
+    members = 'members = [{ id = "m-1", address = "10.1.4.2:80", cell = 2 }]'
+    path.write_text(
+        TOP
+        + POOL_OF_CELLS.partition("members")[0]
+        + members
+        + "\n"
+        + route("all", 'pool = "main"', class_name="submit")
+    )
+    assert "book" not in reload_usable_file(str(path), {}, in_force).file.classes
+
+
+def test_a_reload_of_a_file_whose_class_lacks_its_group_changes_nothing():
+    simulation = make_simulation(GUARDED_TABLES)
+    text = (TOP + GUARDED_TABLES).replace('group = "cell"', "")
+    run_under_load(
+        simulation,
+        50,
+        4 * S,
+        lambda simulation: simulation.call_later(2 * S, simulation.reload, {"file.toml": text}),
+    )
+    metrics = simulation.program.metrics
+    assert (metrics.configs_accepted, metrics.configs_rejected) == (0, 1)
+    assert simulation.program.configuration.file.classes["book"].group == "cell"
+
+
 def test_excluding_an_upstream_excludes_it_from_all_its_pools():
     pools_with_same_members = pool("one") + pool("one").replace("[pools.one]", "[pools.two]")
     simulation = make_simulation(
--- a/tests/server/test_server_reload.py
+++ b/tests/server/test_server_reload.py
@@ -1,5 +1,6 @@
 """Reload of the configuration by SIGHUP, and changes of the endpoint list, in a running process."""
 
+import json
 import os
 import signal
 from contextlib import closing
@@ -180,6 +181,9 @@
         ({"settings": {**CONF, "caps": {**CONF["caps"], "most-hops": float("nan")}}}, ""),
         ({"settings": {**CONF, "caps": {"most-hops": 4}}}, "settings.caps.conn-idle: missing"),
         ({"settings": {key: CONF[key] for key in CONF if key != "contract"}}, "contract"),
+        ({"settings": {**CONF, "tenants": [{"allowance-per-s": 5.0}]}}, "settings.tenants[0].name"),
+        ({"settings": {**CONF, "tenants": [{"name": "gold"}] * 2}}, "settings.tenants[1].name"),
+        ({"settings": {**CONF, "profiles": [{**CONF["profiles"][0], "dedup-window": -1}]}}, "dedup-window"),
     ],
 )  # fmt: skip
 def test_an_invalid_file_is_rejected_on_reload_and_counted(running_balancer, text, key):
@@ -198,6 +202,97 @@
     assert Client(address).request("submit", "POST")[0] == 200
 
 
+DEDUPLICATED_CLASS = {
+    "name": "book", "service-goal": 1000.0, "hard-limit": 3000.0, "semantics": "deduplicated",
+    "group": "cell", "dedup-window": 8000.0, "revenue": 2.0, "in-order": False,
+}  # fmt: skip
+NAMED_ENTRIES = {
+    "profiles": [CONF["profiles"][0], DEDUPLICATED_CLASS],
+    "tenants": [{"name": "gold", "allowance-per-s": 100.0}, {"name": "basic", "allowance-per-s": 5.0}],
+}
+
+
+def without(table, key):
+    return {name: value for name, value in table.items() if name != key}
+
+
+def is_rejected(process, key, reason="missing"):
+    """Wait for the verdict on a reloaded file; return whether it was rejected for this key and counted."""
+    while not (event := json.loads(process.log.get(timeout=PATIENCE)))["event"].startswith("reload."):
+        pass
+    telemetry = call_admin(process.admin, "/api/telemetry")[1]
+    return (
+        event["event"] == "reload.rejected"
+        and event["reason"].startswith(f"{process.config_path}: {key}: {reason}")
+        and (telemetry["cfg_accepted"], telemetry["cfg_invalid"]) == (0, 1)
+    )
+
+
+# Guards against a default in place of a key that an entry of a list has lost: without `group`, deduplicated
+# requests were repeated in another cell and ran twice.
+def test_no_request_runs_in_two_cells_after_a_reload_whose_class_lacks_its_group():
+    failing = Upstream(lambda conn, request: conn.sendall(make_response(head="HTTP/1.1 500 Failed")) is None)
+    other_cell = Upstream()
+    agent = DiscoveryAgent(server_entry("s-0", failing), {**server_entry("s-1", other_cell), "cell": 1})
+    with start_balancer(failing, other_cell, agent=agent, settings=NAMED_ENTRIES) as (address, process, _):
+        profiles = [CONF["profiles"][0], without(DEDUPLICATED_CLASS, "group")]
+        reload_configuration(process, settings={**CONF, **NAMED_ENTRIES, "profiles": profiles})
+        rejected = is_rejected(process, 'settings.profiles["book"].group')
+        client = Client(address)
+        for n in range(20):
+            client.request("book", "POST", b"x", trace_id=f"t{n}")
+        trace_ids, other_trace_ids = (
+            {headers["x-trace-id"] for _, headers, _ in upstream.received_requests.queue}
+            for upstream in (failing, other_cell)
+        )
+        assert not trace_ids & other_trace_ids
+        assert rejected
+
+
+@pytest.mark.parametrize(
+    ("list_key", "name", "key"),
+    [
+        *[("profiles", "book", key) for key in ("group", "dedup-window", "revenue", "in-order")],
+        ("tenants", "basic", "allowance-per-s"),
+    ],
+)
+def test_a_file_that_lacks_a_key_of_an_entry_in_force_is_rejected(list_key, name, key):
+    with start_balancer(Upstream(), settings=NAMED_ENTRIES) as (address, process, _):
+        entries = [
+            without(entry, key) if entry["name"] == name else entry for entry in NAMED_ENTRIES[list_key]
+        ]
+        settings = {**CONF, **NAMED_ENTRIES, list_key: entries[::-1]}  # the order may change
+        reload_configuration(process, settings=settings)
+        assert is_rejected(process, f'settings.{list_key}["{name}"].{key}')
+        assert Client(address).request("book", "POST", b"x")[0] == 200
+
+
+def test_a_file_that_lacks_a_limit_in_force_is_rejected():
+    with start_balancer(Upstream(), limits={"sockets": 256}) as (_, process, _):
+        reload_configuration(process, limits={})
+        assert is_rejected(process, "limits.sockets")
+
+
+@pytest.mark.parametrize("key", ["group", "dedup-window"])
+@pytest.mark.parametrize("before", [None, {**CONF["profiles"][1], "name": "book"}])
+def test_a_class_that_becomes_deduplicated_has_to_say_where_and_how_long(before, key):
+    profiles = [CONF["profiles"][0], *([before] if before else [])]
+    with start_balancer(Upstream(), settings={"profiles": profiles}) as (_, process, _):
+        changed = [CONF["profiles"][0], without(DEDUPLICATED_CLASS, key)]
+        reload_configuration(process, settings={**CONF, "profiles": changed})
+        assert is_rejected(process, f'settings.profiles["book"].{key}')
+
+
+def test_entries_may_be_removed_and_added_as_a_whole():
+    with start_balancer(Upstream(), settings=NAMED_ENTRIES) as (address, process, _):
+        profiles = [{**DEDUPLICATED_CLASS, "name": "amend"}, CONF["profiles"][0]]
+        tenants = NAMED_ENTRIES["tenants"][1:]
+        reload_configuration(process, settings={**CONF, "profiles": profiles, "tenants": tenants})
+        wait_for_event(process, "reload.applied")
+        assert Client(address).request("amend", "POST", b"x")[0] == 200
+        assert Client(address).request("book", "POST", b"x")[0] == 404
+
+
 @pytest.fixture(scope="module")
 def running_balancer():
     with start_balancer(Upstream()) as (address, process, _):
