Long bodies: the client's time runs from when it may have sent its last byte

Cause: an upload had no deadline before its last byte was written to the upstream; it was given up only when nothing had moved for the whole time limit, and after the last byte the time ran from when the balancer had read it. While the upstream is slower, the balancer doesn't read: the client's last byte lies in the kernel. Evidence: the case's record (last byte sent within milliseconds, the body arriving all the while); an upstream that reads 0.7 s and halts was given up a whole time limit after the halt.

Change: StreamingBody.possibly_sent_since: begins when reading is suspended, ends when all that came has been read, or more is missing than both systems buffer. That time and the client's limit are the deadline of the attempt, of a retry, of one that connects, of the time told to the upstream. An upstream from which nothing moved for half of the time counts as unreachable as before, else the attempt as not sent. Reverse case: time in which the balancer didn't read no longer counts as the client's pause (408 before, in the new test).

Failed on the way: giving up within `start`, before the request had its state, left it unanswered; the test of a body behind a slow response found it.

--- a/dahliabend/http/client_connection.py
+++ b/dahliabend/http/client_connection.py
@@ -104,6 +104,8 @@
             return
         self.parser.feed(view)
         self.serve_next()
+        if self.upload is not None and self.is_last_input(view):
+            self.upload.input_consumed()
 
     def serve_next(self) -> None:
         """Serve the next request in the queue, if none is being served."""
@@ -198,10 +200,8 @@
         return b""
 
     def _answer_readiness_check(self) -> None:
-        if self.dispatcher.ready():
-            self.send_response(200, b"", b"ready\n")
-        else:
-            self.send_response(503, b"", b"not ready\n")
+        status, body = (200, b"ready\n") if self.dispatcher.ready() else (503, b"not ready\n")
+        self.send_response(status, b"", body)
 
     def _classify(self, method: bytes, path: bytes, fields: dict[bytes, bytes]) -> int | None:
         """Return the number of the request's class, if known, and count the request as open."""
@@ -382,9 +382,9 @@
         if self.state is not LINGERING and self.can_evict():
             self.close()
 
-    def resume_reading(self) -> None:
-        """Resume reading in the next turn of the event loop, never in a call that dispatches or writes."""
-        self.timers.loop.call_soon(super().resume_reading)
+    def reading_resumed(self, pause: int) -> None:
+        """Give the client more time for its body."""
+        self.parser.extend_body_deadline(pause)
 
     def connection_closed(self) -> None:
         """End the current request, and notify the dispatcher if it has not been answered."""
--- a/dahliabend/http/request_parser.py
+++ b/dahliabend/http/request_parser.py
@@ -121,6 +121,12 @@
             self.last_body_byte_at + BODY_PAUSE_TIMEOUT,
         )
 
+    def extend_body_deadline(self, pause: int) -> None:
+        """Move the deadline of the current body by a time (us) for which nothing was read from the client."""
+        if self.head_complete_at:
+            self.head_complete_at += pause
+            self.last_body_byte_at = clock()
+
     def close(self) -> None:
         """Drop the references between parser and connection, which would keep both from being freed."""
         self.streaming_body = None
--- a/dahliabend/http/streaming.py
+++ b/dahliabend/http/streaming.py
@@ -6,6 +6,9 @@
 from dahliabend.transport.timers import clock
 
 LAST_CHUNK = b"0\r\n\r\n"
+# Bytes that can lie unread in the kernels: by default Linux lets a send buffer grow to 4 MiB, and a receive
+# buffer to 6 MiB.
+MAX_BYTES_IN_KERNELS = 10 * 1024 * 1024
 
 
 class BodyObserver(Protocol):
@@ -28,6 +31,9 @@
     def resume_reading(self) -> None:
         """Resume reading."""
 
+    def unread_input(self) -> bool | None:
+        """Return whether anything is left to read; None: nothing, False: only the end of the stream."""
+
 
 class BodySink(Protocol):
     """The connection that a body is written to."""
@@ -50,6 +56,9 @@
     followed by another. The source is suspended while the body has no sink, and while the sink is slower than
     the source.
 
+    The client's timeout runs from its last byte. While the source is suspended, the client may have sent that
+    byte already; it lies unread in the kernel. `possibly_sent_since` tells since when this is possible.
+
     Attributes:
         source: The connection that the body is received on.
         length: Length of the body in bytes; None if it is received in chunks.
@@ -60,7 +69,8 @@
         is_complete: Whether the whole body has been received.
         is_beginning_dropped: Whether the beginning of the body has been dropped, so that it cannot be resent.
         last_progress: Clock time (us) at which bytes were last received or sent.
-        completed_at: Clock time (us) at which the last byte was received.
+        possibly_sent_since: Clock time (us) since which the client may have sent its last byte; None while it
+            is known to have more to send.
     """
 
     def __init__(self, source: BodySource, length: int | None, parts: list[bytes]) -> None:
@@ -73,7 +83,7 @@
         self.is_complete = False
         self.is_beginning_dropped = False
         self.last_progress = clock()
-        self.completed_at = self.last_progress
+        self.possibly_sent_since: int | None = None
 
     def feed(self, data: bytes) -> None:
         """Buffer the next bytes, and write them to the sink if there is one."""
@@ -84,11 +94,31 @@
                 self.parts.append(data)
             else:
                 self._drop_beginning()
+        if self._client_has_more():
+            self.possibly_sent_since = None
         if self.sink is None:
-            self.source.suspend_reading()
+            self._suspend_source()
         else:
             self._write(self.sink, data)
 
+    def _client_has_more(self) -> bool:
+        """Return whether more is missing than can lie unread in the kernels."""
+        return self.length is not None and self.length - self.size > MAX_BYTES_IN_KERNELS
+
+    def _suspend_source(self) -> None:
+        if self.possibly_sent_since is None:
+            self.possibly_sent_since = clock()
+        self.source.suspend_reading()
+
+    def input_consumed(self) -> None:
+        """Note that all that the client has sent has been read: of an incomplete body, more will follow."""
+        if not self.is_complete:
+            self.possibly_sent_since = clock() if self.source.reading_suspended else None
+
+    def is_waiting_for_client(self) -> bool:
+        """Return whether the next step is the client's: it has to send more of the body."""
+        return not (self.is_complete or self.source.reading_suspended or self.source.unread_input())
+
     def _drop_beginning(self) -> None:
         self.is_beginning_dropped = True
         self.parts = []
@@ -98,7 +128,8 @@
     def mark_complete(self) -> None:
         """Handle the end of the body."""
         self.is_complete = True
-        self.completed_at = clock()
+        if self.possibly_sent_since is None:
+            self.possibly_sent_since = clock()
         if self.sink is not None:
             self.sink.finish_upload(self._terminator())
 
@@ -110,7 +141,7 @@
         if self.is_complete:
             sink.finish_upload(self._terminator())
         else:
-            self.source.resume_reading()
+            self._resume_source()
 
     def _write(self, sink: BodySink, data: bytes) -> None:
         if self.length is None:
@@ -119,7 +150,7 @@
             sink.write(data)
         # A failed write detaches the sink.
         if self.sink is not None and self.sink.unsent_bytes > MAX_BUFFERED_BYTES:
-            self.source.suspend_reading()
+            self._suspend_source()
 
     def _terminator(self) -> bytes:
         return b"" if self.length is not None else LAST_CHUNK
@@ -128,7 +159,12 @@
         """Resume reading from the source, as the sink has sent all that was written."""
         self.last_progress = clock()
         if self.source.reading_suspended:
-            self.source.resume_reading()
+            self._resume_source()
+
+    def _resume_source(self) -> None:
+        if not (self.is_complete or self.source.unread_input()):
+            self.possibly_sent_since = None
+        self.source.resume_reading()
 
     def detach(self) -> None:
         """Forget the sink, which has closed or takes no more of the body."""
--- a/dahliabend/proxy/attempt.py
+++ b/dahliabend/proxy/attempt.py
@@ -9,11 +9,12 @@
 from dahliabend.proxy.base_dispatcher import RequestMetrics
 from dahliabend.proxy.endpoint import Endpoint
 from dahliabend.proxy.request import Request
-from dahliabend.proxy.upstream_request import Phase, UpstreamRequest
+from dahliabend.proxy.upstream_request import UpstreamRequest
 from dahliabend.transport.timers import MICROSECONDS_PER_MILLISECOND, Timer, clock
 
 NO_DEADLINE = 1 << 50  # microseconds
 STALL_TIMEOUT = 20_000_000  # microseconds; a slow peer may pause for seconds, but not for this long
+STALLS_PER_CLIENT_TIME_LIMIT = 2  # without a byte for that part of its time, a body counts as stalled
 UNSIZED_RESPONSE_BUFFERING = 500_000  # microseconds for which a response of unknown length is buffered
 
 
@@ -68,6 +69,9 @@
             self.send_deadline = min(self.expires_at, deduplication_deadline(request.state))
         self.owner = owner
         self.request = request
+        upload_deadline = self.upload_deadline()
+        if upload_deadline is not None:
+            self.send_deadline = min(self.send_deadline, upload_deadline)
         self.index = len(request.attempts)
         self.streaming_since: int | None = None
         self.last_progress = 0
@@ -91,7 +95,9 @@
         length: int | None = len(self.body)
         if self.upload is not None:
             length = self.upload.length
-            time_left = min(time_left, self.request.client_time_limit)
+            deadline = self.upload_deadline()
+            client_time_left = self.request.client_time_limit if deadline is None else deadline - clock()
+            time_left = min(time_left, client_time_left)
         framing = b"Transfer-Encoding: chunked" if length is None else b"Content-Length: %d" % length
         return b"%bX-Expires-In-Ms: %d\r\n%b%b\r\n\r\n" % (
             self.head,
@@ -100,19 +106,18 @@
             framing,
         )
 
-    def start(self) -> None:
-        """Start the attempt.
+    def upload_deadline(self) -> int | None:
+        """Return when the client of a streamed body stops waiting (us); None while it is still sending."""
+        if self.upload is None or self.upload.possibly_sent_since is None:
+            return None
+        return self.upload.possibly_sent_since + self.request.client_time_limit
 
-        With a streamed request body, the timeout is first checked when the client's time limit has passed, if
-        that is earlier than the timeout of the attempt.
-        """
+    def start(self) -> None:
+        """Start the attempt; with a streamed request body, its timeout begins at the client's last byte."""
         super().start()
-        if self.upload is None or self.is_finished:
-            return
-        client_deadline = self.started_at + self.request.client_time_limit
-        if self.expires_at > client_deadline:
+        if self.upload is not None and not self.is_finished:
             self.endpoint.resources.timers.cancel(self.timeout_timer)
-            self.check_progress_at(client_deadline)
+            self.check_progress_at(self._upload_check_due(self.upload))
 
     # Connection events
 
@@ -123,7 +128,7 @@
         if self.upload is None:
             self._schedule_hedge()
         elif self.request.state.body_pending:
-            self._restart_timeout(self.upload)
+            self._restart_timeout()
 
     def _schedule_hedge(self) -> None:
         request = self.request
@@ -132,14 +137,15 @@
             hedge_at = self.started_at + hedge_delay
             self.hedge_timer = self.endpoint.resources.timers.schedule(hedge_at, self.hedge_timer_fired)
 
-    def _restart_timeout(self, upload: StreamingBody) -> None:
+    def _restart_timeout(self) -> None:
         """Restart duration and timeout now that the last byte of the streamed body has been sent.
 
         The upstream could not execute the request before, so the time that the client took to upload the body
         must not count against the endpoint.
         """
         timers = self.endpoint.resources.timers
-        deadline = upload.completed_at + self.request.client_time_limit
+        deadline = self.upload_deadline()
+        assert deadline is not None, "the body is complete"
         timeout = self.request.state.body_received(self.last_progress, deadline)
         self.started_at = self.last_progress
         self.expires_at = self.last_progress + timeout
@@ -181,39 +187,61 @@
         self.request.state.hedge_timer_fired(clock())
 
     def check_timeout(self) -> None:
-        """Give up, or check again later while a body is streamed and bytes are still transferred.
-
-        A streamed transfer is given up once no byte has been transferred for the allowed pause.
-        """
-        now = clock()
-        is_uploading = self.upload is not None and self.request.state.body_pending
-        allowed_pause = self.allowed_pause(is_uploading)
-        if is_uploading and self.phase is Phase.CONNECTING:
-            self.check_progress_at(now + allowed_pause)
-            return
-        last_progress = now - allowed_pause
+        """Give up, or check again later while a body is streamed."""
         if self.is_streaming:
-            last_progress = self.last_progress
-        elif self.upload is not None and is_uploading:
-            last_progress = self.upload.last_progress
-        if now - last_progress < allowed_pause:
-            self.check_progress_at(last_progress + allowed_pause)
-            return
-        if is_uploading:
-            self.request.body_consumed()  # no time is left for another attempt with this body
-        super().check_timeout()
-
-    def allowed_pause(self, is_uploading: bool) -> int:
-        """Return how long (us) a streamed transfer may pause before the attempt is given up.
-
-        While the upstream does not read, reading from the client is paused, so it is unknown whether the
-        client has sent everything. The pause is then limited by the client's timeout: with the limit for a
-        slow client the request would stay unanswered beyond its deadline.
-        """
+            self._check_response()
+        elif self.upload is not None and self.request.state.body_pending:
+            self._check_upload(self.upload)
+        else:
+            super().check_timeout()
+
+    def _check_response(self) -> None:
+        """Give up a streamed response once no byte has been transferred for the allowed pause."""
+        due = self.last_progress + self._allowed_pause()
+        if clock() < due:
+            self.check_progress_at(due)
+        else:
+            super().check_timeout()
+
+    def _allowed_pause(self) -> int:
+        """Return how long (us) a streamed response may pause before the attempt is given up."""
+        is_uploading = self.upload is not None and self.request.state.body_pending
         if is_uploading and (self.connection is None or self.connection.unsent_bytes):
             return min(STALL_TIMEOUT, self.request.client_time_limit)
         return STALL_TIMEOUT
 
+    def _check_upload(self, upload: StreamingBody) -> None:
+        """Give up at the client's deadline, or once no byte of the body has been transferred for long."""
+        now = clock()
+        deadline = self.upload_deadline()
+        if deadline is not None and deadline <= now and upload.is_waiting_for_client():
+            upload.input_consumed()
+        due = self._upload_check_due(upload)
+        if now < due:
+            self.check_progress_at(due)
+        else:
+            self._give_up_upload(now - upload.last_progress)
+
+    def _upload_check_due(self, upload: StreamingBody) -> int:
+        """Return when the upload has to be checked next (us).
+
+        While the client is sending, its deadline is not known yet. It will be after the time returned.
+        """
+        deadline = self.upload_deadline()
+        if deadline is None:
+            deadline = clock() + self.request.client_time_limit
+        return min(deadline, upload.last_progress + STALL_TIMEOUT)
+
+    def _give_up_upload(self, time_without_progress: int) -> None:
+        """Give up before the body has been written; the upstream is at fault if it stopped reading."""
+        self.request.body_consumed()  # no time is left for another attempt with this body
+        if time_without_progress * STALLS_PER_CLIENT_TIME_LIMIT >= self.request.client_time_limit:
+            self.failure_reason = "the body was not read"
+            self.give_up(Outcome.TIMED_OUT)
+        else:
+            self.failure_reason = "the client's time ended before the body was read"
+            self.give_up(Outcome.NOT_SENT)
+
     def check_progress_at(self, when: int) -> None:
         """Schedule a call of `check_timeout` at a time (us)."""
         self.timeout_timer = self.endpoint.resources.timers.schedule(when, self.check_timeout)
--- a/dahliabend/proxy/upstream_request.py
+++ b/dahliabend/proxy/upstream_request.py
@@ -12,6 +12,7 @@
 
 _STATUS_OK = 200
 _REJECTING_STATUSES = (503, 504)  # statuses whose responses may declare the request as not executed
+_NEUTRAL_OUTCOMES = (Outcome.CANCELLED, Outcome.NOT_SENT)  # they say nothing about the endpoint
 
 
 class Phase(IntEnum):
@@ -217,14 +218,18 @@
     def give_up(self, outcome: Outcome) -> None:
         """Finish with `outcome`, or with UNREACHABLE if the request was not written completely.
 
-        The outcome CANCELLED is kept in either case. The connection is closed before this method returns, so
+        CANCELLED and NOT_SENT stay as they are then. The connection is closed before this method returns, so
         that no other attempt is sent while this one is still being written.
         """
         if self.phase is _FINISHED:
             return
         written = self.connection is not None and self.connection.cancel_request()
         self.stop_connecting()
-        self.finish_soon(outcome if written or outcome is Outcome.CANCELLED else Outcome.UNREACHABLE)
+        if written:
+            # A request that was written completely may have been executed.
+            self.finish_soon(Outcome.TIMED_OUT if outcome is Outcome.NOT_SENT else outcome)
+        else:
+            self.finish_soon(outcome if outcome in _NEUTRAL_OUTCOMES else Outcome.UNREACHABLE)
 
     def finish_soon(self, outcome: Outcome) -> None:
         """Finish without a response, and call `on_finished` in the next iteration of the event loop.
--- a/dahliabend/transport/connection.py
+++ b/dahliabend/transport/connection.py
@@ -201,8 +201,10 @@
         Returns:
             None: nothing; False: only the end of the peer's stream; True: bytes.
         """
-        if self.receive_buffer.count:
-            return True
+        return True if self.receive_buffer.count else self.unread_in_kernel()
+
+    def unread_in_kernel(self) -> bool | None:
+        """Return whether the kernel has anything left to read; for the values see `unread_input`."""
         try:
             return bool(self.sock.recv(1, socket.MSG_PEEK)) if self.sock is not None else None
         except BlockingIOError:
@@ -210,6 +212,14 @@
         except OSError:  # the socket has failed, so nothing more will be received
             return False
 
+    def is_last_input(self, view: memoryview) -> bool:
+        """Return whether nothing waits behind the bytes that are being processed.
+
+        A read that filled the buffer has left more in the kernel, as a rule; that is not looked up.
+        """
+        ring = self.receive_buffer
+        return ring.count == len(view) < ring.size and not self.unread_in_kernel()
+
     def peer_has_closed(self) -> bool:
         """Return whether the peer has closed the connection, even if bytes before that are unread."""
         return self.sock is not None and host_info.peer_has_closed(self.sock)
