Streamed answers of unknown length: a short one ends by its client's deadline

What callers saw: an upstream that begins a chunked answer, or one without a length, and halts after some bytes kept its client waiting: the answer was streamed after half a second, and from then on only 20 s without a byte ended it.

Change: a streamed answer of unknown length that has neither ended nor exceeded 64 KiB at its client's deadline is cut off, in a way that the client can tell.

--- a/dahliabend/proxy/attempt.py
+++ b/dahliabend/proxy/attempt.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol
 
+from dahliabend.http.headers import MAX_BUFFERED_BYTES
 from dahliabend.http.streaming import BodySource, StreamingBody
 from dahliabend.http.upstream_connection import UpstreamConnection, UpstreamResponse
 from dahliabend.model import Idempotency, Outcome
@@ -60,6 +61,8 @@
         index: Index among the attempts of the request.
         streaming_since: When streaming the response to the client began (us); None if it is not streamed.
         last_progress: When bytes of the request or of a streamed response were last transferred (us).
+        response_length: Length of the streamed response in bytes, if the upstream states it.
+        response_bytes: Bytes of the streamed response that have been forwarded.
     """
 
     def __init__(self, owner: AttemptOwner, request: Request, endpoint: Endpoint, timeout: int) -> None:
@@ -75,6 +78,8 @@
         self.index = len(request.attempts)
         self.streaming_since: int | None = None
         self.last_progress = 0
+        self.response_length: int | None = None
+        self.response_bytes = 0
         self.buffering_timer: Timer | None = None
         self.hedge_timer: Timer | None = None
 
@@ -169,6 +174,7 @@
         now = clock()
         self.streaming_since = now
         self.last_progress = now
+        self.response_length = length
         request.mark_answered(responding=self)
         request.state.response_started(now, self.index)
         request.incoming.client.start_response(headers, length, source)
@@ -178,6 +184,7 @@
     def response_part(self, part: bytes) -> None:
         """Forward a part of a streamed response to the client."""
         self.last_progress = clock()
+        self.response_bytes += len(part)
         self.request.incoming.client.send_part(part)
 
     # Timers
@@ -196,13 +203,24 @@
             super().check_timeout()
 
     def _check_response(self) -> None:
-        """Give up a streamed response once no byte has been transferred for the allowed pause."""
-        due = self.last_progress + self._allowed_pause()
+        """Give up a streamed response at the client's deadline, or once no byte has come for long."""
+        due = min(self.last_progress + self._allowed_pause(), self._short_response_deadline())
         if clock() < due:
             self.check_progress_at(due)
         else:
             super().check_timeout()
 
+    def _short_response_deadline(self) -> int:
+        """Return until when a response of unknown length has to end, as long as it is short (us).
+
+        Of a long response, only the beginning has to be in time.
+        """
+        if self.response_length is not None or self.response_bytes > MAX_BUFFERED_BYTES:
+            return NO_DEADLINE
+        if self.upload is None:
+            return self.request.incoming.received_at + self.request.client_time_limit
+        return self.upload_deadline() or NO_DEADLINE
+
     def _allowed_pause(self) -> int:
         """Return how long (us) a streamed response may pause before the attempt is given up."""
         is_uploading = self.upload is not None and self.request.state.body_pending
--- a/tests/http/test_long_messages.py
+++ b/tests/http/test_long_messages.py
@@ -1,6 +1,8 @@
 """Bodies and responses too long to be buffered, in every framing, over sockets."""
 
 import os
+import time
+from contextlib import suppress
 
 import pytest
 from helpers import PATIENCE, Client, Upstream, call_admin, make_response, start_balancer, wait_until
@@ -65,6 +67,48 @@
         assert (query_counts["fulfilled"], query_counts["faulted"]) == (0, 1)
 
 
+CHUNKED_RESPONSE = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+UNSIZED_RESPONSE = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+
+
+def respond_in_parts(parts, pause):
+    def respond(conn, request):
+        for part in parts:
+            conn.sendall(part)
+            time.sleep(pause)
+
+    return respond
+
+
+# Guards against a client without a final response in time: once a response was streamed, only a stall of 20 s
+# ended it, also if it was short.
+@pytest.mark.parametrize(
+    "parts",
+    [
+        [CHUNKED_RESPONSE + b"3\r\nabc\r\n", b"0\r\n\r\n"],
+        [UNSIZED_RESPONSE + b"abc", b"def"],
+        [CHUNKED_RESPONSE, *[b"3\r\nabc\r\n"] * 30],
+    ],
+)
+def test_a_short_response_of_unknown_length_ends_by_its_deadline(parts):
+    with start_balancer(Upstream(respond_in_parts(parts, 6 / len(parts)))) as (address, _, _):
+        client = Client(address)
+        sent_at = time.monotonic()
+        client.send(timeout_ms="1000")
+        client.sock.settimeout(3)
+        with suppress(ConnectionResetError):
+            assert not client.file.read().endswith(
+                b"0\r\n\r\n"
+            )  # the client can tell that it is not complete
+        assert time.monotonic() - sent_at <= 1.55
+
+
+def test_a_long_response_of_unknown_length_may_end_after_its_deadline():
+    raw = CHUNKED_RESPONSE + chunked(LONG)
+    with start_balancer(Upstream(respond_in_parts([raw[:500_000], raw[500_000:]], 1.5))) as (address, _, _):
+        assert Client(address).request(timeout_ms="1000")[::2] == (200, LONG)
+
+
 def test_a_partly_consumed_body_is_rejected_when_its_attempt_fails():
     upstream = Upstream()
     # The upstream closes the connection in the middle of the body.
