Pipelined requests: their time runs from when their bytes may have come

A request's time began at the parsing of its first byte, which lies unread while requests before it are served.

Change: Connection.unprocessed_since, set when bytes stay in the ring, forgotten once the ring is empty and, if reading was paused, nothing is unread. Too early an estimate only rejects a request.

--- a/dahliabend/http/client_connection.py
+++ b/dahliabend/http/client_connection.py
@@ -150,7 +150,7 @@
         if self._is_serving and self.upload is None:
             return
         if self.timeout_timer is None or not self.timeout_timer.is_pending:
-            self.limit_request_time(self.parser.received_at)  # else it would hold its descriptor forever
+            self.limit_request_time(self.parser.begun_at)  # else it would hold its descriptor forever
 
     def start_request(self, request: ReceivedRequest) -> None:
         """Answer a request, or pass it to the dispatcher."""
--- a/dahliabend/http/dispatch.py
+++ b/dahliabend/http/dispatch.py
@@ -69,7 +69,7 @@
         body: The body, unless it is streamed.
         upload: A body that is still being received; None if `body` is complete.
         client_timeout: How long the client waits for the response (us).
-        received_at: Clock time (us) of the first byte.
+        received_at: Clock time (us) since which the first byte may have been there.
         trace_id: Trace id of the request.
         tenant: Name of the tenant, as on the wire; empty for none.
         is_client_retry: Whether the client says that it has sent the request before.
--- a/dahliabend/http/request_parser.py
+++ b/dahliabend/http/request_parser.py
@@ -18,7 +18,7 @@
     """A request that has been received in full, or whose body is streamed while it is received.
 
     Attributes:
-        received_at: Clock time (us) of the first byte.
+        received_at: Clock time (us) since which the first byte may have been there.
         method: The method, as received.
         target: The target, as received.
         fields: Header values by name in lower case; if a name occurs more than once, the last value.
@@ -43,7 +43,14 @@
 
 
 class RequestReceiver(BodySource, Protocol):
-    """The connection that receives the parsed requests."""
+    """The connection that receives the parsed requests.
+
+    Attributes:
+        unprocessed_since: Clock time (us) since which the bytes to parse may have waited; 0 if they have just
+            been received.
+    """
+
+    unprocessed_since: int
 
     def request_received(self, request: ReceivedRequest) -> None:
         """Take a request that can be served."""
@@ -61,7 +68,9 @@
     Attributes:
         receiver: The connection that receives the requests.
         error_status: Status of the first error; 0 if none. No request is reported after an error.
-        received_at: Clock time (us) of the first byte of the current request; 0 between requests.
+        received_at: Clock time (us) since which the first byte of the current request may have been there; 0
+            between requests.
+        begun_at: Clock time (us) at which that byte was parsed.
         unparsed_bytes: Bytes since the underlying parser last reported progress.
         target: Target of the current request, as far as it has been received.
         headers: Names and values of its headers, as received.
@@ -80,6 +89,7 @@
         self._http = httptools.HttpRequestParser(self)
         self.error_status = 0
         self.received_at = 0
+        self.begun_at = 0
         self.unparsed_bytes = 0
         self._start_request()
 
@@ -137,7 +147,8 @@
 
     def on_message_begin(self) -> None:
         """Start a new request."""
-        self.received_at = clock()
+        self.begun_at = clock()
+        self.received_at = self.receiver.unprocessed_since or self.begun_at
         self._start_request()
 
     def on_url(self, data: bytes) -> None:
--- a/dahliabend/proxy/attempt.py
+++ b/dahliabend/proxy/attempt.py
@@ -72,9 +72,8 @@
             self.send_deadline = min(self.expires_at, deduplication_deadline(request.state))
         self.owner = owner
         self.request = request
-        upload_deadline = self.upload_deadline()
-        if upload_deadline is not None:
-            self.send_deadline = min(self.send_deadline, upload_deadline)
+        if self.upload is not None:
+            self.send_deadline = min(self.send_deadline, self.upload_deadline() or NO_DEADLINE)
         self.index = len(request.attempts)
         self.streaming_since: int | None = None
         self.last_progress = 0
--- a/dahliabend/proxy/endpoint.py
+++ b/dahliabend/proxy/endpoint.py
@@ -115,7 +115,8 @@
         return (
             not connection.closed
             and idle_time < self.resources.idle_timeout
-            and connection.unread_input() is None
+            and not connection.receive_buffer.count
+            and connection.unread_in_kernel() is None
         )
 
     def return_connection(self, connection: UpstreamConnection) -> None:
--- a/dahliabend/transport/connection.py
+++ b/dahliabend/transport/connection.py
@@ -10,6 +10,7 @@
 from dahliabend.transport import host_info
 from dahliabend.transport.descriptor_budget import DescriptorBudget
 from dahliabend.transport.ring_buffer import RingBuffer
+from dahliabend.transport.timers import clock
 
 BUFFER_SIZE = 8192  # bytes of each ring buffer
 # Bytes. Without a limit the kernel's buffer grows to megabytes. Bytes in it count as written, so a peer that
@@ -38,6 +39,8 @@
         parsing_blocked: Whether received bytes have to wait until earlier requests are answered.
         reading_suspended: Whether reading is stopped because the receiver of the bytes is slower.
         is_transport_paused: Whether the transport has been told not to read.
+        unprocessed_since: Clock time (us) since which received bytes may have waited; 0 if none wait.
+        may_wait_in_kernel: Whether bytes may have waited in the kernel, because reading was paused.
         closed: Whether the connection is closed or being closed.
         transport: The transport; None before the connection is established and after it is lost.
         sock: The socket; None before it is connected, and after the connection is lost or reset.
@@ -57,6 +60,8 @@
         self.parsing_blocked = False
         self.reading_suspended = False
         self.is_transport_paused = False
+        self.unprocessed_since = 0
+        self.may_wait_in_kernel = False
         self.closed = False
         self.transport: asyncio.Transport | None = None
         self.sock: socket.socket | None = None
@@ -107,11 +112,22 @@
         elif self.is_transport_paused and self.transport is not None and not self.closed:
             self.is_transport_paused = False
             self.transport.resume_reading()
+        if ring.count or self.unprocessed_since:
+            self._update_waiting_time()
+
+    def _update_waiting_time(self) -> None:
+        """Note since when bytes wait in the buffer or, unread, in the kernel."""
+        if self.receive_buffer.count:
+            self.unprocessed_since = self.unprocessed_since or clock()
+        elif not (self.may_wait_in_kernel and self.unread_in_kernel()):
+            self.unprocessed_since = 0
+            self.may_wait_in_kernel = False
 
     def pause_transport(self) -> None:
         """Tell the transport not to read."""
         if not self.is_transport_paused and self.transport is not None and not self.closed:
             self.is_transport_paused = True
+            self.may_wait_in_kernel = True
             self.transport.pause_reading()
             self.transport_paused()
 
