Zones that the settings don't name are different zones

Change: PolicyPort gives each such zone an index of its own, by name. Upstreams without a zone stay one zone, as deployments without zones have them.

Result: the unit test fails before (one index for all), passes now.

--- a/dahliabend/proxy/policy_port.py
+++ b/dahliabend/proxy/policy_port.py
@@ -11,7 +11,7 @@
 from dahliabend.proxy.health_checks import HealthCheck
 from dahliabend.transport.timers import TimerQueue, clock
 
-UNKNOWN_ZONE = -1
+FIRST_UNLISTED_ZONE = -1  # counting down: indices of zones that the settings don't name
 
 
 class PolicyOwner(Protocol):
@@ -61,6 +61,8 @@
         open_requests: Number of open requests under this policy.
         request_classes: Request classes by index.
         zones: Zone indices by name.
+        unlisted_zones: Indices of the zones that the settings don't name. Each has one of its own, because
+            upstreams of two zones do not drop each other's repeats.
         balancer: Makes the decisions of the policy.
     """
 
@@ -69,6 +71,7 @@
         self.open_requests = 0
         self.request_classes = settings.settings.request_classes
         self.zones = settings.zone_indices
+        self.unlisted_zones: dict[str, int] = {}
         self.health_check_timeout = settings.health_check_timeout
         self.report_fields = settings.report_fields
         # Methods that the router implements in the same way for all its policies, bound directly to save a
@@ -89,9 +92,19 @@
             full: Whether these are all endpoints; otherwise only those that changed.
         """
         excluded = self.owner.excluded
-        updates = [_endpoint_update(endpoint, state, excluded, self.zones) for endpoint, state in endpoints]
+        updates = [
+            _endpoint_update(endpoint, state, excluded, self.zone_index(endpoint.zone))
+            for endpoint, state in endpoints
+        ]
         self.balancer.update_endpoints(clock(), updates, full)
 
+    def zone_index(self, name: str) -> int:
+        """Return the index of a zone; one that the settings don't name gets an index at its first use."""
+        index = self.zones.get(name)
+        if index is None:
+            index = self.unlisted_zones.setdefault(name, FIRST_UNLISTED_ZONE - len(self.unlisted_zones))
+        return index
+
     # Health checks
 
     def check_health(self, endpoint_index: int) -> None:
@@ -125,7 +138,7 @@
 
 
 def _endpoint_update(
-    endpoint: Endpoint, state: EndpointState, excluded: set[str], zones: dict[str, int]
+    endpoint: Endpoint, state: EndpointState, excluded: set[str], zone_index: int
 ) -> EndpointUpdate:
     if endpoint.name in excluded and state is not EndpointState.REMOVED:
         state = EndpointState.EXCLUDED
@@ -135,6 +148,6 @@
         max(endpoint.started_at, endpoint.included_at),
         endpoint.weight,
         endpoint.cell,
-        zones.get(endpoint.zone, UNKNOWN_ZONE),
+        zone_index,
         endpoint.name.encode(),
     )
--- a/tests/proxy/test_endpoint_table.py
+++ b/tests/proxy/test_endpoint_table.py
@@ -161,3 +161,14 @@
     endpoint.update(parse_endpoint(entry), 0)
     endpoint.update(parse_endpoint({"id": "s-1", "state": "removed"}), 0)
     assert (endpoint.cell, endpoint.zone) == (3, "b")
+
+
+# Guards against repeats outside the deduplication scope: all zones that the settings don't name were one.
+def test_zones_that_the_settings_do_not_name_are_different_zones():
+    port = PolicyPort.__new__(PolicyPort)
+    port.zones, port.unlisted_zones = {"a": 0}, {}
+    indices = [port.zone_index(name) for name in ("a", "b", "c", "b", "")]
+    assert indices[0] == 0
+    assert indices[1] == indices[3]
+    assert len(set(indices)) == 4
+    assert all(index < 0 for index in indices[1:])
