--- a/dahliabend/proxy/policy_port.py
+++ b/dahliabend/proxy/policy_port.py
@@ -11,8 +11,6 @@
 from dahliabend.proxy.health_checks import HealthCheck
 from dahliabend.transport.timers import TimerQueue, clock
 
-FIRST_UNLISTED_ZONE = -1  # counting down: indices of zones that the settings don't name
-
 
 class PolicyOwner(Protocol):
     """Interface of the router that a policy acts through; the methods are those of `model.Port`.
@@ -60,9 +58,8 @@
         owner: The router that the policy decides for.
         open_requests: Number of open requests under this policy.
         request_classes: Request classes by index.
-        zones: Zone indices by name.
-        unlisted_zones: Indices of the zones that the settings don't name. Each has one of its own, because
-            upstreams of two zones do not drop each other's repeats.
+        zones: Zone indices by name. A zone that the settings don't name is added with a negative index of its
+            own, because upstreams of two zones do not drop each other's repeats.
         balancer: Makes the decisions of the policy.
     """
 
@@ -70,8 +67,7 @@
         self.owner = owner
         self.open_requests = 0
         self.request_classes = settings.settings.request_classes
-        self.zones = settings.zone_indices
-        self.unlisted_zones: dict[str, int] = {}
+        self.zones = dict(settings.zone_indices)
         self.health_check_timeout = settings.health_check_timeout
         self.report_fields = settings.report_fields
         # Methods that the router implements in the same way for all its policies, bound directly to save a
@@ -92,19 +88,9 @@
             full: Whether these are all endpoints; otherwise only those that changed.
         """
         excluded = self.owner.excluded
-        updates = [
-            _endpoint_update(endpoint, state, excluded, self.zone_index(endpoint.zone))
-            for endpoint, state in endpoints
-        ]
+        updates = [_endpoint_update(endpoint, state, excluded, self.zones) for endpoint, state in endpoints]
         self.balancer.update_endpoints(clock(), updates, full)
 
-    def zone_index(self, name: str) -> int:
-        """Return the index of a zone; one that the settings don't name gets an index at its first use."""
-        index = self.zones.get(name)
-        if index is None:
-            index = self.unlisted_zones.setdefault(name, FIRST_UNLISTED_ZONE - len(self.unlisted_zones))
-        return index
-
     # Health checks
 
     def check_health(self, endpoint_index: int) -> None:
@@ -138,7 +124,7 @@
 
 
 def _endpoint_update(
-    endpoint: Endpoint, state: EndpointState, excluded: set[str], zone_index: int
+    endpoint: Endpoint, state: EndpointState, excluded: set[str], zones: dict[str, int]
 ) -> EndpointUpdate:
     if endpoint.name in excluded and state is not EndpointState.REMOVED:
         state = EndpointState.EXCLUDED
@@ -148,6 +134,6 @@
         max(endpoint.started_at, endpoint.included_at),
         endpoint.weight,
         endpoint.cell,
-        zone_index,
+        zones.setdefault(endpoint.zone, -1 - len(zones)),
         endpoint.name.encode(),
     )
--- a/tests/proxy/test_endpoint_table.py
+++ b/tests/proxy/test_endpoint_table.py
@@ -165,9 +165,20 @@
 
 # Guards against repeats outside the deduplication scope: all zones that the settings don't name were one.
 def test_zones_that_the_settings_do_not_name_are_different_zones():
-    port = PolicyPort.__new__(PolicyPort)
-    port.zones, port.unlisted_zones = {"a": 0}, {}
-    indices = [port.zone_index(name) for name in ("a", "b", "c", "b", "")]
+    updates = []
+    policy = SimpleNamespace(
+        owner=SimpleNamespace(excluded=set()),
+        zones={"a": 0},
+        balancer=SimpleNamespace(update_endpoints=lambda _now, endpoints, _full: updates.extend(endpoints)),
+    )
+    table = endpoint_table()
+    changed = []
+    for number, zone in enumerate(("a", "b", "c", "b", "")):
+        endpoint = table.get_or_create(f"s-{number}")
+        endpoint.zone = zone
+        changed.append((endpoint, EndpointState.READY))
+    PolicyPort.endpoints_changed(policy, changed, full=True)
+    indices = [update.zone for update in updates]
     assert indices[0] == 0
     assert indices[1] == indices[3]
     assert len(set(indices)) == 4
