Uploads: resume reading at a body's end, and wait for what is on its way

Older: if reading was suspended when a body's last byte was read, nothing resumed it: the upload had left the sink, whose flush resumes. The connection stayed open and the client's next request on it was never read. Now mark_complete resumes.

--- a/dahliabend/http/streaming.py
+++ b/dahliabend/http/streaming.py
@@ -9,6 +9,8 @@
 # Bytes that can lie unread in the kernels: by default Linux lets a send buffer grow to 4 MiB, and a receive
 # buffer to 6 MiB.
 MAX_BYTES_IN_KERNELS = 10 * 1024 * 1024
+# Microseconds of reading after which nothing is on its way any more that waited while reading was suspended.
+BACKLOG_TRANSFER_TIME = 100_000
 
 
 class BodyObserver(Protocol):
@@ -71,6 +73,7 @@
         last_progress: Clock time (us) at which bytes were last received or sent.
         possibly_sent_since: Clock time (us) since which the client may have sent its last byte; None while it
             is known to have more to send.
+        resumed_at: Clock time (us) since which the source has been read, if it is not suspended.
     """
 
     def __init__(self, source: BodySource, length: int | None, parts: list[bytes]) -> None:
@@ -84,6 +87,7 @@
         self.is_beginning_dropped = False
         self.last_progress = clock()
         self.possibly_sent_since: int | None = None
+        self.resumed_at = self.last_progress
 
     def feed(self, data: bytes) -> None:
         """Buffer the next bytes, and write them to the sink if there is one."""
@@ -111,13 +115,18 @@
         self.source.suspend_reading()
 
     def input_consumed(self) -> None:
-        """Note that all that the client has sent has been read: of an incomplete body, more will follow."""
-        if not self.is_complete:
-            self.possibly_sent_since = clock() if self.source.reading_suspended else None
+        """Note that all that has arrived was read: of an incomplete body, the client has more to send.
 
-    def is_waiting_for_client(self) -> bool:
-        """Return whether the next step is the client's: it has to send more of the body."""
-        return not (self.is_complete or self.source.reading_suspended or self.source.unread_input())
+        Shortly after reading was resumed this does not follow: what waited until then may be on its way.
+        """
+        now = clock()
+        if not self.is_complete and now - self.resumed_at >= BACKLOG_TRANSFER_TIME:
+            self.possibly_sent_since = now if self.source.reading_suspended else None
+
+    def note_silence(self) -> None:
+        """Note that all that has arrived was read, if it is so, although no byte has come to show it."""
+        if not (self.source.reading_suspended or self.source.unread_input()):
+            self.input_consumed()
 
     def _drop_beginning(self) -> None:
         self.is_beginning_dropped = True
@@ -132,6 +141,8 @@
             self.possibly_sent_since = clock()
         if self.sink is not None:
             self.sink.finish_upload(self._terminator())
+        if self.source.reading_suspended:
+            self.source.resume_reading()  # what follows is not part of this body
 
     def attach(self, sink: BodySink) -> None:
         """Write the body to this connection, from its beginning."""
@@ -162,8 +173,7 @@
             self._resume_source()
 
     def _resume_source(self) -> None:
-        if not (self.is_complete or self.source.unread_input()):
-            self.possibly_sent_since = None
+        self.resumed_at = clock()
         self.source.resume_reading()
 
     def detach(self) -> None:
--- a/dahliabend/proxy/attempt.py
+++ b/dahliabend/proxy/attempt.py
@@ -230,9 +230,7 @@
     def _check_upload(self, upload: StreamingBody) -> None:
         """Give up at the client's deadline, or once no byte of the body has been transferred for long."""
         now = clock()
-        deadline = self.upload_deadline()
-        if deadline is not None and deadline <= now and upload.is_waiting_for_client():
-            upload.input_consumed()
+        upload.note_silence()
         due = self._upload_check_due(upload)
         if now < due:
             self.check_progress_at(due)
--- a/tests/proxy/test_upload_deadlines.py
+++ b/tests/proxy/test_upload_deadlines.py
@@ -149,3 +149,14 @@
         assert client.read()[0] == 200
         assert client.read()[0] == 503
         assert time.monotonic() - sent_at <= 0.4 + GRACE
+
+
+# Guards against a connection that is never read again: reading stayed suspended if it was so at a body's end.
+@pytest.mark.parametrize("make_request", [sized_request, chunked_request])
+def test_a_connection_whose_long_body_was_read_slowly_serves_the_next_request(make_request):
+    with start_balancer(PacedUpstream(halt_after=1, halt=0.3)) as (address, _, _):
+        client = Client(address)
+        for number in range(6):  # of sizes around what the buffers on the way hold
+            body = body_of(400_000 + 100_000 * number)
+            client.sock.sendall(make_request(body, trace_id=b"t%d" % number))
+            assert client.read()[0] == 200
