--- a/dahliabend/simulation/peers/clients.py
+++ b/dahliabend/simulation/peers/clients.py
@@ -1,7 +1,6 @@
 """Clients, which send requests over keep-alive connections, retry them and disconnect after a timeout."""
 
 import asyncio
-from collections.abc import Callable
 from random import Random
 from typing import cast
 
@@ -12,11 +11,10 @@
 from dahliabend.simulation.peers.client_request import ClientRequest
 from dahliabend.simulation.peers.connection_rotation import ConnectionRotation
 
-LARGE_BODY = 60_000  # bytes; larger bodies may not fit into the peer's buffer
 DISCONNECT_DELAY = 600_000  # microseconds after a request's timeout until its client disconnects
 PIECES = 5  # number of pieces of a request that is sent slowly
 BASE_BACKOFF = 50_000  # microseconds; doubled for each retry, including the first
-READ_CHECK_INTERVAL = 0.001  # seconds between two checks whether a large body has been read
+SENT_CHECK_INTERVAL = 0.001  # seconds between two checks whether a large body has been sent
 FOLLOW_UP_TIMEOUT = 0.05  # seconds for which a half-closed client waits after its second request
 SHOWN_BYTES = 100  # maximum of unexpected data in an event
 UNKNOWN_LENGTH = 1 << 30  # bytes; stands for the body length of a response without Content-Length
@@ -128,7 +126,7 @@
         self.request: ClientRequest | None = None
         self.last_request: ClientRequest | None = None
         self.requests_sent = 0
-        self.is_request_delivered = False  # whether it is written, and read if it is large
+        self.is_request_delivered = False  # whether the system has taken it
         self.timeout_timer: asyncio.TimerHandle | None = None
         self.disconnect_timer: asyncio.TimerHandle | None = None
         self.parser: httptools.HttpResponseParser | None = None
@@ -179,22 +177,17 @@
 
     def _write_last(self, request: ClientRequest, data: bytes) -> None:
         self.transport.write(data)
-        if len(request.body) > LARGE_BODY or self.transport.get_write_buffer_size():
-            self._wait_until_read(request)
-        else:
-            self._request_written(request)
+        self._wait_until_sent(request)
 
-    def _wait_until_read(self, request: ClientRequest) -> None:
-        """Start the timeout timer of a large request only after its last byte has been read.
+    def _wait_until_sent(self, request: ClientRequest) -> None:
+        """Start the timeout timer once the client's system has taken the last byte.
 
-        A balancer applies backpressure while the upstream reads slowly, and cannot know for how long the
-        unread bytes have waited.
+        From then on the client waits, whether or not the balancer reads.
         """
         if self.request is not request or self.transport.is_closing():
             return
-        unread: Callable[[], int] | None = self.transport.get_extra_info("unread_by_peer")
-        if self.transport.get_write_buffer_size() or (unread is not None and unread()):
-            self.clients.loop.call_later(READ_CHECK_INTERVAL, self._wait_until_read, request)
+        if self.transport.get_write_buffer_size():
+            self.clients.loop.call_later(SENT_CHECK_INTERVAL, self._wait_until_sent, request)
         else:
             self._request_written(request)
 
--- a/dahliabend/simulation/peers/upstream.py
+++ b/dahliabend/simulation/peers/upstream.py
@@ -96,6 +96,7 @@
         self.garbled = 0.0  # share of successful responses that are sent invalid
         self.duplicated_share = 0.0  # share of successful responses that are sent twice
         self.slower = 1.0  # factor on the duration of work
+        self.read_rate = 0.0  # bytes per second that are read on each connection; 0: no limit
         self.connection_limit = UNLIMITED_CONNECTIONS
         self.is_overloaded = False  # whether too much work during the warm-up has made it hang for good
 
@@ -312,6 +313,14 @@
             self.parser.feed_data(data)
         except httptools.HttpParserError:
             self.transport.abort()
+            return
+        if self.upstream.read_rate:
+            self.transport.pause_reading()
+            self.upstream.loop.call_later(len(data) / self.upstream.read_rate, self._read_on)
+
+    def _read_on(self) -> None:
+        if not self.transport.is_closing():
+            self.transport.resume_reading()
 
     def on_url(self, data: bytes) -> None:
         """Handle a part of the request target, parsed by httptools."""
--- a/dahliabend/simulation/scenario.py
+++ b/dahliabend/simulation/scenario.py
@@ -44,11 +44,12 @@
     "garble", "flap", "cut-zone", "reset-hop", "lose-hop", "kill", "term", "stall", "reload", "drop-class",
     "broken-file", "upgrade", "late", "silent", "end-watch", "wrong", "move", "exclude", "evacuate",
     "half-call", "crowd", "rude", "twice", "slow-dial", "withdraw", "deaf", "whole", "anew", "flood",
-    "behind", "leave", "away",
+    "behind", "leave", "away", "slow-read",
 ]  # fmt: skip
 FAULTS_BY_TARGET: dict[str, tuple[FaultKind, ...]] = {
     "upstream": ("hang", "slow", "fail", "crash", "restart", "drain", "refuse", "mute", "vanish", "limit",
-                 "reset", "garble", "flap", "twice", "slow-dial", "withdraw"),
+                 "reset", "garble", "flap", "twice", "slow-dial", "withdraw",
+                 "slow-read"),
     "zone": ("cut-zone",),
     "hop": ("reset-hop", "lose-hop"),
     "balancer": ("kill", "term", "stall", "reload", "drop-class", "broken-file", "upgrade"),
@@ -181,6 +182,7 @@
     long_bodies: float = 0.0
     long_answers: float = 0.0
     ordering_keys: int = 0  # number of keys among deduplicated requests; 0: requests have no key
+    long_body_size: int = 120_000  # bytes
 
 
 class Fault(Table):
--- a/dahliabend/simulation/scenario_generator.py
+++ b/dahliabend/simulation/scenario_generator.py
@@ -27,6 +27,7 @@
 SEPARATELY_DRAWN_FAULTS: tuple[FaultKind, ...] = (
     "twice", "slow-dial", "withdraw", "deaf", "whole", "anew", "flood", "behind", "leave", "away",
 )  # fmt: skip
+SLOW_READ: FaultKind = "slow-read"  # drawn with a random generator of its own, after all others
 # Faults of discovery during which an upstream is withdrawn, in a longer run.
 DISCOVERY_SILENCES = ("deaf", "whole", "anew", "away")
 ALL_FAULTS: tuple[FaultKind, ...] = tuple(kind for kinds in FAULTS_BY_TARGET.values() for kind in kinds)
@@ -35,6 +36,8 @@
 DRAIN_END_OFFSETS = (-1, 0, 1)  # microseconds relative to the end of an endpoint's drain time
 ORDERED_SHARE = 0.25  # share of the seeds whose requests have ordering keys
 SEPARATE_FAULT_SHARE = 0.35  # share of the seeds
+SLOW_READER_SHARE = 0.05  # share of the seeds
+SLOW_READER_BODY_SIZES = (450_000, 700_000, 1_500_000)  # bytes; more than the buffers on the way hold
 SHORT_DEADLINE_SHARE = 0.15  # share of the seeds
 MANY_BALANCERS_THRESHOLD = 0.18  # draws from SHORT_DEADLINE_SHARE to this give many balancers
 EVENT_TRIGGER_SHARE = 0.2  # share of the faults that begin at an event
@@ -63,6 +66,7 @@
     )
     _add_separate_fault(Random(f"terms {seed}"), scenario, kinds)
     _vary_deadline_or_balancers(Random(f"sizes {seed}"), scenario)
+    _add_slow_reader(Random(f"slow reader {seed}"), scenario, kinds)
     check(scenario)
     return scenario
 
@@ -167,6 +171,26 @@
         scenario.load.requests *= 2
 
 
+def _add_slow_reader(rng: Random, scenario: Scenario, kinds: tuple[str, ...]) -> None:
+    """Add an upstream that reads slowly, and long bodies, to some seeds or, if `kinds` has it, to all."""
+    is_drawn = SLOW_READ in kinds if kinds else rng.random() < SLOW_READER_SHARE
+    if not is_drawn:
+        return
+    world = scenario.world
+    world.send_buffer = 262_144
+    world.receive_window = 65_536
+    scenario.load.long_bodies = 0.2
+    scenario.load.long_body_size = rng.choice(SLOW_READER_BODY_SIZES)
+    fault = Fault(
+        SLOW_READ,
+        whom=rng.randrange(world.upstreams),
+        at=Duration(rng.randrange(500) * MS),
+        span=Duration(4 * S),
+        size=round(rng.uniform(0.2, 1), 3),
+    )
+    scenario.faults.append(fault)
+
+
 def _vary_slow_connects(rng: Random, scenario: Scenario, fault: Fault, count: int) -> None:
     """Vary what happens while connections come up slowly.
 
@@ -193,7 +217,9 @@
     """
     requested = [KINDS_BY_NAME[name] for name in kinds] or ALL_FAULTS
     possible = [
-        kind for kind in requested if _is_possible(kind, world) and kind not in SEPARATELY_DRAWN_FAULTS
+        kind
+        for kind in requested
+        if _is_possible(kind, world) and kind not in (*SEPARATELY_DRAWN_FAULTS, SLOW_READ)
     ]
     if not possible:
         return []
--- a/dahliabend/simulation/upstream_faults.py
+++ b/dahliabend/simulation/upstream_faults.py
@@ -9,6 +9,7 @@
 RESTART_TIME = 200 * MS  # from the end of a process to the start of the next in a planned restart
 MAX_CONNECT_DELAY = 1_500 * MS  # multiplied by the fault's size
 MAX_SLOWDOWN = 10  # multiplied by the fault's size
+MAX_READING_TIME = 8  # seconds for a long body, multiplied by the fault's size
 MAX_CONNECTIONS = 4  # limit of an upstream's connections, multiplied by the fault's size
 FLAPS = 6  # changes of a list entry within the fault's duration
 
@@ -35,6 +36,7 @@
             "mute": self.ignore_connections,
             "vanish": self.vanish,
             "slow-dial": self.slow_connects,
+            "slow-read": self.read_slowly,
         }
 
     def _host(self, fault: Fault) -> UpstreamHost:
@@ -55,6 +57,11 @@
         """Have the upstream's work take longer."""
         return self._set_behavior(fault, "slower", value=1 + MAX_SLOWDOWN * fault.size)
 
+    def read_slowly(self, fault: Fault) -> Undo:
+        """Have the upstream read long bodies at a steady, slow pace."""
+        rate = self.simulation.scenario.load.long_body_size / (MAX_READING_TIME * fault.size)
+        return self._set_behavior(fault, "read_rate", value=rate)
+
     def fail(self, fault: Fault) -> Undo:
         """Have a share of the upstream's requests fail."""
         return self._set_behavior(fault, "failing", value=fault.size)
--- a/dahliabend/simulation/world.py
+++ b/dahliabend/simulation/world.py
@@ -37,7 +37,6 @@
 SHUTDOWN_TIME = 4_500_000  # microseconds for the balancers to end after SIGTERM
 READINESS_INTERVAL = 250_000  # microseconds between two polls of the balancers' readiness
 MAX_BALANCERS_COUNTING_WORK = 16  # with more, upstreams that warm up count requests instead of their work
-LONG_BODY_SIZE = 120_000  # bytes
 BODY_SIZES = (0, 20, 600, 2_500)  # bytes
 PIECE_INTERVALS = (2_000, 20_000, 60_000)  # microseconds between pieces of a request sent slowly
 BURST_FRACTION = 10  # a burst lasts a tenth of the load
@@ -291,7 +290,7 @@
         if name != "query":
             request.body = b"x" * rng.choice(BODY_SIZES)
             if rng.random() < load.long_bodies:
-                request.body = b"y" * LONG_BODY_SIZE
+                request.body = b"y" * load.long_body_size
         if rng.random() < load.long_answers:
             request.query_string = b"?long"
         if name == "mark" and load.ordering_keys:
