--- a/tests/simulation/defects.py
+++ b/tests/simulation/defects.py
@@ -17,6 +17,7 @@
 from dahliabend.discovery.endpoint_list import EndpointList
 from dahliabend.http.client_connection import ClientConnection
 from dahliabend.http.serving_state import ServingState
+from dahliabend.http.streaming import StreamingBody
 from dahliabend.http.upstream_connection import UpstreamConnection, UpstreamResponse
 from dahliabend.model import EndpointState, Outcome
 from dahliabend.policy import balancer, selection
@@ -367,6 +368,26 @@
     return replace_attribute(Balancer, "admit", admit)
 
 
+def count_from_the_last_byte_read():
+    """The client's time runs from when the last byte of its body was read, not from when it may have come."""
+
+    def suspend_source(self):
+        self.source.suspend_reading()
+
+    return replace_attribute(StreamingBody, "_suspend_source", suspend_source)
+
+
+def leave_reading_suspended():
+    """Reading that was suspended when a body ended is not resumed."""
+    original = StreamingBody.mark_complete
+
+    def mark_complete(self):
+        with replace_attribute(self.source, "resume_reading", lambda: None):
+            original(self)
+
+    return replace_attribute(StreamingBody, "mark_complete", mark_complete)
+
+
 def skip_key_pause():
     return replace_attribute(KeyQueues, "pause", lambda self, request, now: None)
 
@@ -424,6 +445,10 @@
         retry_after_deduplication_window, ("no effect twice",), ("slow-dial",), 20
     ),
     "the time of the choice told": Defect(announce_time_left_at_selection, ("time told",), ("slow-dial",)),
+    "a client's time from the last byte read": Defect(
+        count_from_the_last_byte_read, ("one answer",), ("slow-read",)
+    ),
+    "reading left suspended after a body": Defect(leave_reading_suspended, ("one answer",), ("slow-read",)),
     "a leaving behind unread bytes": Defect(disable_hangup_detection, ("after the end",), ("flood",)),
     "silent watches waited for": Defect(disable_silence_timeout, ("told in time",), ("deaf",)),
     "a count begun anew passed over": Defect(ignore_restarted_versions, ("told in time",), ("anew",)),
@@ -448,6 +473,8 @@
     "client-gone-while-the-connection-comes-up": "sent for those who have gone",
     "time-told-before-the-connection-was-up": "the time of the choice told",
     "repeat-after-its-window": "repeats past their window",
+    "connection-not-read-after-a-long-body": "reading left suspended after a body",
+    "slow-reader-holds-client": "a client's time from the last byte read",
     "client-gone-behind-unread-bytes": "a leaving behind unread bytes",
     "watch-silent-for-good": "silent watches waited for",
     "count-begun-anew": "a count begun anew passed over",
