Hot restart: state that lacks a key changes nothing

Change: restore_state reads and checks all of the state before it restores anything. The form of the state stays.

--- a/dahliabend/proxy/pool_state.py
+++ b/dahliabend/proxy/pool_state.py
@@ -176,6 +176,15 @@
         state["once"] = list(self.table.known_ids)
         return state
 
+    def check_snapshot(self, state: dict[str, Any]) -> None:
+        """Check that the state of the predecessor process can be restored, without restoring anything.
+
+        Raises:
+            KeyError, TypeError, ValueError, AttributeError: The state is malformed.
+        """
+        dict(state["profiles"].items())
+        convert({**state, "upstreams": dict(enumerate(state["upstreams"].values()))}, Snapshot)
+
     def restore(self, state: dict[str, Any]) -> int:
         """Restore the state of the predecessor process.
 
--- a/tests/pins/test_handed_over_state.py
+++ b/tests/pins/test_handed_over_state.py
@@ -254,3 +254,41 @@
         resumed_state, stored_text = resume_member(Path(scratch))
         write_golden(SUCCESSOR_GOLDEN, as_json(resumed_state))
         write_golden(MEMBER_FILE_AGAIN_GOLDEN, stored_text)
+
+
+def _without_key(state: dict, path: tuple) -> dict:
+    copied = json.loads(json.dumps(state))
+    table = copied
+    for key in path[:-1]:
+        table = table[key]
+    del table[path[-1]]
+    return copied
+
+
+REQUIRED_STATE_KEYS = [
+    *(
+        (key,)
+        for key in ("shape", "usual", "gap", "upstreams", "crowd", "epoch", "profiles", "returned", "once")
+    ),
+    ("list",),
+    ("discovery",),
+    ("list", "servers"),
+    *(("list", "servers", 0, key) for key in ("id", "addr", "zone", "cell", "weight", "state", "started_ms")),
+]
+
+
+# Guards against state that is restored in part, and against a default in place of a key that it lacks.
+@pytest.mark.parametrize("path", REQUIRED_STATE_KEYS, ids=lambda path: ".".join(map(str, path)))
+def test_state_that_lacks_a_key_changes_nothing(path: tuple) -> None:
+    state = _without_key(json.loads((FOLDER / STATE).read_text()), path)
+
+    async def resume() -> None:
+        settings = read_server_settings({"PROXY_CONFIG": str(FOLDER / "platform.json")})
+        program = PlatformServer(settings, {}, LogLines())
+        before = program.capture_state()
+        with pytest.raises((KeyError, TypeError, ValueError, AttributeError)):
+            program.restore_state(state)
+        assert program.capture_state() == before
+        assert not program.discovery.first_attempt_finished
+
+    asyncio.run(resume())
