Uploads: a short wait for the first connection leaves a slow client its time

With a time limit under 0.1 s, a slow client of a sound upstream was answered 503 at its limit: the wait for the upstream's connection counted as a suspension after which 0.1 s of reading have to pass. A client can't have piled up much in so short a time, so it does not count while the body's beginning is still there.

--- a/dahliabend/http/streaming.py
+++ b/dahliabend/http/streaming.py
@@ -87,7 +87,7 @@
         self.is_beginning_dropped = False
         self.last_progress = clock()
         self.possibly_sent_since: int | None = None
-        self.resumed_at = self.last_progress
+        self.resumed_at = self.last_progress - BACKLOG_TRANSFER_TIME  # its head was read without a pause
 
     def feed(self, data: bytes) -> None:
         """Buffer the next bytes, and write them to the sink if there is one."""
@@ -173,9 +173,15 @@
             self._resume_source()
 
     def _resume_source(self) -> None:
-        self.resumed_at = clock()
+        if self.is_beginning_dropped or self._has_waited_long():
+            self.resumed_at = clock()
         self.source.resume_reading()
 
+    def _has_waited_long(self) -> bool:
+        """Return whether much may have come while the body had no sink, as it has while one is opened."""
+        since = self.possibly_sent_since
+        return since is not None and clock() - since >= BACKLOG_TRANSFER_TIME
+
     def detach(self) -> None:
         """Forget the sink, which has closed or takes no more of the body."""
         self.sink = None
--- a/tests/http/test_streaming_body.py
+++ b/tests/http/test_streaming_body.py
@@ -104,6 +104,17 @@
     assert body.possibly_sent_since == time.us
 
 
+@pytest.mark.parametrize("pause", [BACKLOG_TRANSFER_TIME // 4, BACKLOG_TRANSFER_TIME])
+def test_a_short_wait_for_the_upstream_leaves_a_slow_client_its_time(time, pause):
+    body = StreamingBody(Source(), LENGTH, [])
+    body.feed(b"x")
+    time.us += pause
+    body.attach(Sink())
+    time.us += 10 * MS
+    body.input_consumed()
+    assert (body.possibly_sent_since is None) == (pause < BACKLOG_TRANSFER_TIME)
+
+
 # Guards against a connection that is never read again: reading stayed suspended if it was so at a body's end.
 @pytest.mark.parametrize("has_sink", [True, False])
 def test_reading_is_resumed_at_the_end_of_a_body(time, has_sink):
--- a/tests/proxy/test_upload_deadlines.py
+++ b/tests/proxy/test_upload_deadlines.py
@@ -99,10 +99,11 @@
 
 
 @pytest.mark.parametrize("make_request", [sized_request, chunked_request])
-def test_a_slow_client_of_a_sound_upstream_succeeds_however_long_it_sends(make_request):
+@pytest.mark.parametrize("timeout", [0.08, 0.4])
+def test_a_slow_client_of_a_sound_upstream_succeeds_however_long_it_sends(make_request, timeout):
     with start_balancer(PacedUpstream()) as (address, _, _):
         client = Client(address)
-        send_slowly(client, make_request(body_of(MIB), timeout=0.4), pieces=10, pause=0.2)
+        send_slowly(client, make_request(body_of(MIB), timeout=timeout), pieces=10, pause=0.2)
         assert client.read()[0] == 200
 
 
