--- a/dahliabend/proxy/attempt.py
+++ b/dahliabend/proxy/attempt.py
@@ -202,12 +202,19 @@
             super().check_timeout()
 
     def _check_response(self) -> None:
-        """Give up a streamed response at the client's deadline, or once no byte has come for long."""
-        due = min(self.last_progress + self._allowed_pause(), self._short_response_deadline())
-        if clock() < due:
-            self.check_progress_at(due)
-        else:
+        """Give up a streamed response at the client's deadline, or once no byte has come for long.
+
+        At the deadline the outcome is that of a client that stops waiting, which it would do otherwise.
+        """
+        now = clock()
+        stalls_at = self.last_progress + self._allowed_pause()
+        deadline = self._short_response_deadline()
+        if now >= stalls_at:
             super().check_timeout()
+        elif now >= deadline:
+            self.give_up(Outcome.CANCELLED)
+        else:
+            self.check_progress_at(min(stalls_at, deadline))
 
     def _short_response_deadline(self) -> int:
         """Return until when a response of unknown length has to end, as long as it is short (us).
