--- /dev/null
+++ b/dahliabend/process_tests/rude_run.py
@@ -0,0 +1,176 @@
+"""One run of a balancer process under its limits, with sound clients beside a crowd of rude ones."""
+
+import asyncio
+import tempfile
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from dahliabend.process_tests.platform_balancer import MEGABYTE, PlatformBalancer, ProcessLimits
+from dahliabend.process_tests.processes import free_ports
+from dahliabend.process_tests.recording_upstream import (
+    LOOPBACK,
+    RecordingDiscovery,
+    RecordingUpstream,
+    UpstreamRecord,
+)
+from dahliabend.process_tests.rude_clients import start_crowd
+from dahliabend.process_tests.sound_clients import ClientRecord, SoundClient
+
+UPSTREAMS = 4
+SOUND_CLIENTS = 20
+MEAN_PAUSE = 0.1  # seconds between two requests of a sound client
+PATIENCE = 2.0  # seconds that a sound client waits
+HEAD_START = 0.5  # seconds in which the sound clients are alone
+TAIL = 0.5  # seconds in which they are alone again
+MIN_SERVED_SHARE = 0.5  # of the sound clients' requests
+
+
+class Environment:
+    """Upstreams, discovery and one balancer, with the records of what happened.
+
+    Attributes:
+        balancer: The balancer; its process has been started.
+        upstreams: The upstreams.
+        discovery: The discovery service.
+        executed: What the upstreams have received.
+        clients: What became of the sound clients' requests.
+    """
+
+    def __init__(
+        self, directory: Path, limits: ProcessLimits, settings: dict[str, Any] | None = None
+    ) -> None:
+        self.executed = UpstreamRecord()
+        self.clients = ClientRecord()
+        self.upstreams = [RecordingUpstream(f"s-{number}", self.executed) for number in range(UPSTREAMS)]
+        self.discovery = RecordingDiscovery([])
+        self.directory = directory
+        self.limits = limits
+        self.settings = settings
+        self.balancer: PlatformBalancer
+
+    async def open(self) -> None:
+        """Start all peers and the balancer."""
+        for upstream in self.upstreams:
+            await upstream.open()
+        self.discovery.entries = [upstream.entry for upstream in self.upstreams]
+        await self.discovery.open()
+        port, admin_port = free_ports(2)
+        addresses = (LOOPBACK, port), (LOOPBACK, admin_port)
+        self.balancer = PlatformBalancer(
+            self.directory, addresses, self.discovery.address, self.limits, self.settings
+        )
+        await self.balancer.start()
+
+    def sound_clients(
+        self, until: float, seed: int = 0, patience: float = PATIENCE
+    ) -> list[asyncio.Task[None]]:
+        """Start sound clients, which send requests until a time (monotonic seconds)."""
+        return [
+            asyncio.create_task(
+                SoundClient(
+                    f"c{seed}.{number}",
+                    lambda: self.balancer.address,
+                    self.clients,
+                    self.executed,
+                    patience,
+                    Random(f"{seed} {number}"),
+                ).run(until, MEAN_PAUSE)
+            )
+            for number in range(SOUND_CLIENTS)
+        ]
+
+
+@asynccontextmanager
+async def open_environment(
+    limits: ProcessLimits, settings: dict[str, Any] | None = None
+) -> AsyncIterator[Environment]:
+    """Open an environment; end all that it has started at the end of the context."""
+    with tempfile.TemporaryDirectory() as directory:
+        environment = Environment(Path(directory), limits, settings)
+        try:
+            await environment.open()
+            yield environment
+        finally:
+            await environment.balancer.kill()
+            for server in (environment.discovery.server, *(u.server for u in environment.upstreams)):
+                server.close()
+
+
+@dataclass(frozen=True, slots=True)
+class RudeRunResult:
+    """The result of a run.
+
+    Attributes:
+        form: Form of the rude clients.
+        limits: Limits of the process.
+        baseline_mb: Resident memory before the first client.
+        peak_mb: Largest resident memory.
+        is_alive: Whether the process has lived to the end.
+        clients: What became of the sound clients' requests.
+        repeated: Trace ids of requests that may not run twice and have.
+        errors: Faults of the program in its log.
+        events: Number of log lines by event.
+        metrics: The last log line with metrics.
+    """
+
+    form: str
+    limits: ProcessLimits
+    baseline_mb: float
+    peak_mb: float
+    is_alive: bool
+    clients: ClientRecord
+    repeated: list[str]
+    errors: list[str]
+    events: dict[str, int]
+    metrics: dict[str, Any]
+
+    def violations(self) -> list[str]:
+        """Return what broke a rule, each with a description."""
+        found = [*self.clients.lost, *self.clients.foreign, *self.errors]
+        found += [f"{trace_id} ran more than once" for trace_id in self.repeated]
+        if not self.is_alive:
+            found.append(f"the process ended; its peak was {self.peak_mb:.1f} of {self.limits.memory_mb} MB")
+        if self.clients.served_share < MIN_SERVED_SHARE:
+            found.append(f"{self.clients.served_share:.0%} of the sound clients' requests were served")
+        if self.clients.late:
+            found.append(f"{self.clients.late} answers late, the slowest after {self.clients.slowest:.2f} s")
+        return found
+
+    def summary(self) -> str:
+        """Return the result in one line."""
+        return (
+            f"{self.form:24} limit {self.limits.memory_mb} MB, baseline {self.baseline_mb:.1f}, "
+            f"peak {self.peak_mb:.1f}; sound clients: {dict(sorted(self.clients.statuses.items()))}, "
+            f"{len(self.clients.lost)} lost, {self.clients.late} late, slowest {self.clients.slowest:.3f} s, "
+            f"{self.clients.resent} resent; {len(self.repeated)} ran twice"
+        )
+
+
+async def run_beside(
+    form: str, count: int, limits: ProcessLimits, seconds: float = 3.0, seed: int = 1
+) -> RudeRunResult:
+    """Run sound clients beside a crowd of rude clients of one form."""
+    async with open_environment(limits) as environment:
+        until = time.monotonic() + HEAD_START + seconds + TAIL
+        sound = environment.sound_clients(until, seed)
+        await asyncio.sleep(HEAD_START)
+        crowd = await start_crowd(form, environment.balancer.address, count, seconds, seed)
+        await asyncio.gather(*sound, crowd.wait())
+        balancer = environment.balancer
+        return RudeRunResult(
+            form=form,
+            limits=limits,
+            baseline_mb=balancer.baseline_bytes / MEGABYTE,
+            peak_mb=balancer.peak_bytes / MEGABYTE,
+            is_alive=balancer.is_alive,
+            clients=environment.clients,
+            repeated=sorted(environment.executed.repeated_unsafe()),
+            errors=balancer.errors,
+            events=dict(balancer.events),
+            metrics=balancer.last_metrics,
+        )
