--- a/dahliabend/config/platform.py
+++ b/dahliabend/config/platform.py
@@ -22,6 +22,9 @@
 LOG_LEVELS = ("info", "debug")
 MIN_DESCRIPTORS = 64
 MAX_DESCRIPTORS = 1 << 20
+MEGABYTE = 1 << 20
+MIN_MEMORY_MB = 1
+MAX_MEMORY_MB = 1 << 20
 MAX_SETTING = 1e9  # upper bound of times in milliseconds and of the number of requests in flight
 MAX_DESCRIPTOR_DIGITS = 9  # of the descriptor number in PROXY_FD
 HEALTH_CHECK_REPORT_SOURCE = "on_probe"
@@ -138,6 +141,7 @@
         shared_directory="" if descriptor is None else _shared_directory(environment),
         seed=seed,
         descriptor_limit=file.limits.descriptors,
+        memory_limit=round(file.limits.memory_mb * MEGABYTE),
         known_endpoints=file.known_endpoints,
         verbose=file.log_level == "debug",
         settings=policy_settings,
@@ -165,6 +169,7 @@
 def _check_numbers(file: PlatformFile) -> None:
     capabilities = file.settings.capabilities
     check_range("limits.sockets", file.limits.descriptors, MIN_DESCRIPTORS, MAX_DESCRIPTORS)
+    check_range("limits.memory_mb", file.limits.memory_mb, MIN_MEMORY_MB, MAX_MEMORY_MB)
     check_range("settings.caps.conn-idle", capabilities.idle_timeout, 1, MAX_SETTING)
     check_range("settings.caps.dial-timeout", capabilities.connect_timeout, 1, MAX_SETTING)
     check_range("settings.caps.most-held", capabilities.max_in_flight, 1, MAX_SETTING)
--- a/dahliabend/config/platform_schema.py
+++ b/dahliabend/config/platform_schema.py
@@ -99,10 +99,14 @@
     load_report: LoadReportSection = field(name="report", default_factory=LoadReportSection)
 
 
+DEFAULT_MEMORY_MB = 192.0
+
+
 class LimitSection(Struct):
     """The resource limits of the process."""
 
     descriptors: int = field(name="sockets", default=1024)
+    memory_mb: float = DEFAULT_MEMORY_MB
 
 
 class PlatformFile(Struct):
--- a/dahliabend/config/server_settings.py
+++ b/dahliabend/config/server_settings.py
@@ -21,6 +21,7 @@
         shared_directory: The directory shared by processes with the same listening socket; empty without one.
         seed: The seed of all random number generators.
         descriptor_limit: The maximum number of descriptors that may be open at once.
+        memory_limit: The memory in bytes at which the platform kills the process.
         known_endpoints: The last endpoint list of this balancer, in the discovery service's format.
         verbose: Whether debug events are logged.
         settings: The settings of the policy.
@@ -48,6 +49,7 @@
     shared_directory: str
     seed: int
     descriptor_limit: int
+    memory_limit: int
     known_endpoints: dict[str, Any]
     verbose: bool
     settings: PolicySettings
--- a/dahliabend/discovery/watch_connection.py
+++ b/dahliabend/discovery/watch_connection.py
@@ -69,8 +69,10 @@
         Raises:
             ValueError: A line is too long, or a message cannot be applied.
         """
+        searched = len(self.partial_line)
         self.partial_line += data
-        while (end := self.partial_line.find(b"\n")) >= 0:
+        while (end := self.partial_line.find(b"\n", searched)) >= 0:
+            searched = 0
             line = bytes(self.partial_line[:end]).strip()
             del self.partial_line[: end + 1]
             if line:  # an empty line is a heartbeat
@@ -79,6 +81,10 @@
         if len(self.partial_line) > MAX_LINE_BYTES:
             raise ValueError("too long a line")
 
+    def buffered_bytes(self) -> int:
+        """Return how many bytes of the list and of the connection are held."""
+        return len(self.partial_line) + len(self.unprocessed) + self.unsent_bytes
+
     def on_message_complete(self) -> None:
         """End the watch.
 
--- a/dahliabend/http/admin_connection.py
+++ b/dahliabend/http/admin_connection.py
@@ -67,6 +67,10 @@
         self.descriptors.mark_awaiting_request(self.handle, clock())
         self.timeout_timer = self.timers.schedule(clock() + CALL_TIMEOUT, self.abort)
 
+    def buffered_bytes(self) -> int:
+        """Return how many bytes of the call and of its response the connection holds."""
+        return len(self.target) + len(self.body) + len(self.unprocessed) + self.unsent_bytes
+
     def can_evict(self) -> bool:
         """Return whether the connection can be closed without losing a call that has not been read yet."""
         return not self.unread_input()
--- a/dahliabend/http/client_connection.py
+++ b/dahliabend/http/client_connection.py
@@ -6,20 +6,30 @@
 
 from dahliabend.http import headers as wire
 from dahliabend.http.dispatch import Dispatcher, IncomingRequest, is_valid_trace_id_and_timeout
+from dahliabend.http.headers import HeaderFields
 from dahliabend.http.request_parser import BODY_PAUSE_TIMEOUT, ReceivedRequest, RequestParser
 from dahliabend.http.responses import CONNECTION_CLOSE, CONTINUE, Framing, StreamedResponse, response_head
 from dahliabend.http.serving_state import FLUSHING, LINGERING, SERVING, WAITING, ServingState
 from dahliabend.http.streaming import BodySource, StreamingBody
 from dahliabend.transport.descriptor_budget import DescriptorBudget
-from dahliabend.transport.disconnect_detection import DisconnectDetectingConnection
+from dahliabend.transport.disconnect_detection import CLIENT_LEFT, DisconnectDetectingConnection
 from dahliabend.transport.handles import NO_HANDLE
 from dahliabend.transport.timers import MICROSECONDS_PER_MILLISECOND, Timer, TimerQueue, clock
+from dahliabend.transport.turn_budget import RECEIVE_AREA_BYTES, SMALL_READ_BYTES
 
 # Microseconds.
 REQUEST_TIMEOUT = 2_500_000  # for receiving a request, the first one counted from accepting; not over 3 s
 SLOW_REQUEST_AGE = REQUEST_TIMEOUT // 8  # from this age on, an incomplete request can be evicted
 STREAM_TIMEOUT_FACTOR = 4  # write timeouts in which the rest of a streamed response has to be sent
 LINGER_DIVISOR = 4  # of the write timeout: time for the client to close after the final response
+RELIEF_GRACE = 100_000  # until a request that has begun, or a response that waits, counts as slow
+
+HEAD_STEP = SMALL_READ_BYTES  # bytes of a head parsed at once; a head can consist of very many fields
+QUEUED_REQUEST_BYTES = 4096  # that a parsed request holds beside its headers and its body
+SLOW, RECENT = range(2)  # ranks of the connections that have to give up what they hold
+# Reasons for the log.
+RESPONSE_NOT_READ = "response not read"
+OUT_OF_MEMORY = "memory"
 
 ALLOWED_METHODS = b"Allow: GET, POST\r\n"  # header line of a 405 response
 
@@ -142,7 +152,7 @@
         """Answer a request that could not be parsed."""
         self.state = SERVING
         self.keep_alive = False
-        self._classify(b"", self.parser.target.partition(b"?")[0], {})
+        self._classify(b"", self.parser.target.partition(b"?")[0], HeaderFields({}, b""))
         self.send_error(self.parser.error_status)
 
     def _limit_begun_request(self) -> None:
@@ -195,7 +205,7 @@
         """Return the body if it has been received in full; else keep it as the upload and return nothing."""
         if body.is_complete:  # it was received while earlier requests were served
             self.upload = None
-            return b"".join(body.parts)
+            return bytes(body.beginning)
         self.upload = body
         return b""
 
@@ -203,7 +213,7 @@
         status, body = (200, b"ready\n") if self.dispatcher.ready() else (503, b"not ready\n")
         self.send_response(status, b"", body)
 
-    def _classify(self, method: bytes, path: bytes, fields: dict[bytes, bytes]) -> int | None:
+    def _classify(self, method: bytes, path: bytes, fields: HeaderFields) -> int | None:
         """Return the number of the request's class, if known, and count the request as open."""
         name_and_number = self.dispatcher.classify(method, path, fields)
         if name_and_number is None:
@@ -244,7 +254,8 @@
         self.write(head, body)
         if self.state is FLUSHING:
             # A client that reads nothing would hold its descriptor and the response in memory forever.
-            self.timeout_timer = self.timers.schedule(clock() + self.write_timeout, self.abort)
+            due = clock() + self.write_timeout
+            self.timeout_timer = self.timers.schedule(due, self.abort, RESPONSE_NOT_READ)
 
     def _connection_line(self) -> bytes:
         """Decide whether the connection stays open after the response; return the Connection header line.
@@ -277,7 +288,7 @@
         if self.closed or self.response is None:
             return
         self.write(*self.response.frame(data))
-        if self.unsent_bytes > wire.MAX_BUFFERED_BYTES and self.response is not None:
+        if self.unsent_bytes > self.memory.allowance() and self.response is not None:
             self.response.source.suspend_reading()
 
     def finish_response(self) -> None:
@@ -290,7 +301,7 @@
         self.dispatcher.count_response(self.class_name, 200)
         self.state = FLUSHING
         due = clock() + STREAM_TIMEOUT_FACTOR * self.write_timeout
-        self.timeout_timer = self.timers.schedule(due, self.abort)
+        self.timeout_timer = self.timers.schedule(due, self.abort, RESPONSE_NOT_READ)
         self.write(response.terminator())
 
     def abort_response(self) -> None:
@@ -321,15 +332,80 @@
         self.state = WAITING
         self.opened_at = 0
         self.descriptors.mark_idle(self.handle, clock())
-        if self.queue or self.receive_buffer.count or self.parser.received_at or self.parser.error_status:
+        if self.queue or self.unprocessed or self.parser.received_at or self.parser.error_status:
             # In the next turn of the event loop: serving a long queue at once would nest a call per request.
-            self.timers.loop.call_soon(self.continue_serving)
+            self.continue_in_next_turn()
+        else:
+            self.attained_time = 0
 
-    def continue_serving(self) -> None:
+    def continue_in_next_turn(self) -> None:
         """Serve requests that were received while the previous response was being sent."""
+        if self.turn.loop is None:
+            self.timers.loop.call_soon(self.process_input)
+        else:
+            self.turn.defer(self)
+
+    def process_input(self) -> None:
+        """Serve the next request that was received, unless its client has left; then parse further input."""
+        began_at = clock()
+        if not self.closed and (self.queue or self.unprocessed) and self.peer_has_closed():
+            self.abort(CLIENT_LEFT)
         if not self.closed:
             self.serve_next()
-            self.process_input()
+            super().process_input()
+            self.attained_time += clock() - began_at
+
+    # Sharing of memory and of the event loop
+
+    def input_step(self) -> int:
+        """Return how many bytes may be parsed at once."""
+        is_in_body = self.parser.head_complete_at and self.parser.received_at
+        return RECEIVE_AREA_BYTES if is_in_body else HEAD_STEP
+
+    def buffered_bytes(self) -> int:
+        """Return how many bytes of requests and responses the connection holds."""
+        held = len(self.unprocessed) + self.unsent_bytes
+        if self.parser.received_at:
+            held += self.parser.buffered_bytes()
+        for request in self.queue:
+            held += QUEUED_REQUEST_BYTES + len(request.headers)
+            body = request.body
+            held += len(body) if isinstance(body, bytes) else len(body.beginning)
+        if self.upload is not None:
+            held += len(self.upload.beginning)
+        return held
+
+    def relief_rank(self, now: int) -> int | None:
+        """Return `SLOW` or `RECENT` for an incomplete request or a response that waits for its client.
+
+        All else has been taken on and has to be answered.
+        """
+        if self.closed:
+            return None
+        if self.write_paused:
+            since = self.write_paused_at
+        elif self._is_receiving_request:
+            since = self.parser.begun_at
+        else:
+            return None
+        return SLOW if now - since > RELIEF_GRACE else RECENT
+
+    @property
+    def _is_receiving_request(self) -> bool:
+        """Whether a request has begun and can still be rejected, as no upstream can have all of it."""
+        if self.parser.error_status or not self.parser.received_at:
+            return False
+        return self.state is WAITING or (self.upload is not None and self.response is None)
+
+    def relieve(self) -> None:
+        """Reject the request that is being received, or end the connection of a slow reader."""
+        if self.write_paused:
+            self.reset(OUT_OF_MEMORY)
+            return
+        self.dispatcher.request_shed(self.parser.target, self.held_bytes)
+        self.parser.fail(503)
+        self.serve_next()
+        self.update_output_account()
 
     # Timeouts and closing
 
@@ -341,6 +417,8 @@
         """
         self.state = LINGERING
         self.parser.error_status = 0
+        self.parser.discard()
+        self.unprocessed = bytearray()
         self.parsing_blocked = False
         self.reading_suspended = False
         self.queue.clear()
@@ -386,9 +464,19 @@
         """Give the client more time for its body."""
         self.parser.extend_body_deadline(pause)
 
+    def _log_close(self) -> None:
+        """Log why this process has closed the connection, if that left a client without an answer."""
+        is_unanswered = self._is_serving or self.queue or self.parser.received_at
+        if self.close_reason and is_unanswered:
+            self.dispatcher.connection_closed(
+                self.close_reason, self.state.name, len(self.queue), self.held_bytes
+            )
+
     def connection_closed(self) -> None:
         """End the current request, and notify the dispatcher if it has not been answered."""
+        self._log_close()
         self.parser.close()
+        self.queue.clear()
         self.upload = None
         self.response = None
         self.timers.cancel(self.timeout_timer)
--- a/dahliabend/http/dispatch.py
+++ b/dahliabend/http/dispatch.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
+from dahliabend.http.headers import HeaderFields
 from dahliabend.http.streaming import BodySource, StreamingBody
 
 MAX_TRACE_ID_BYTES = 128
@@ -79,7 +80,7 @@
     client: Client
     method: bytes
     target: bytes
-    fields: dict[bytes, bytes]
+    fields: HeaderFields
     headers: bytes
     body: bytes
     upload: StreamingBody | None
@@ -100,12 +101,10 @@
 
     methods: frozenset[bytes]
 
-    def classify(self, method: bytes, path: bytes, fields: dict[bytes, bytes]) -> tuple[bytes, int] | None:
+    def classify(self, method: bytes, path: bytes, fields: HeaderFields) -> tuple[bytes, int] | None:
         """Return name and number of the request's class, or None if it belongs to no known class."""
 
-    def read_trace_id_and_timeout(
-        self, target_number: int, fields: dict[bytes, bytes]
-    ) -> tuple[bytes, bytes]:
+    def read_trace_id_and_timeout(self, target_number: int, fields: HeaderFields) -> tuple[bytes, bytes]:
         """Return the request's trace id and its client timeout.
 
         The timeout is in milliseconds, as ASCII digits. Neither value has been validated.
@@ -137,6 +136,19 @@
     def request_closed(self) -> None:
         """Stop counting a request as open: its response was sent, or its connection closed."""
 
+    def request_shed(self, target: bytes, held_bytes: int) -> None:
+        """Handle the rejection of a request that was being received, for lack of memory."""
+
+    def connection_closed(self, reason: str, state: str, queued_requests: int, held_bytes: int) -> None:
+        """Handle that this process has closed the connection of a client that awaits an answer.
+
+        Args:
+            reason: Why it was closed.
+            state: What the connection was doing.
+            queued_requests: Number of requests that were received and not served.
+            held_bytes: Bytes that the connection held.
+        """
+
     def count_response(self, name: bytes, status: int) -> None:
         """Count a response with this status to a request of the class with this name."""
 
--- a/dahliabend/http/headers.py
+++ b/dahliabend/http/headers.py
@@ -23,6 +23,11 @@
     b"transfer-encoding content-length expect x-expires-in-ms x-never-ran endpoint-load-metrics".split()
 )
 
+# Headers that the balancer reads itself, beside those that it does not forward.
+_READ = frozenset((TRACE_ID_HEADER, RETRY_HEADER, TENANT_HEADER, ORDERING_KEY_HEADER))
+_CONNECTION_OPTIONS = frozenset((b"", b"close", b"keep-alive"))  # they name no header
+FIELD_BYTES = 256  # that a header stored by name needs beside the bytes of the head
+
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -37,23 +42,83 @@
 }
 
 
-def end_to_end_headers(headers: list[tuple[bytes, bytes]], connection_header: bytes = b"") -> bytes:
-    r"""Return the header lines to forward.
+class HeaderFields(dict[bytes, bytes]):
+    r"""Header values by name in lower case; if a name occurs more than once, the last value.
+
+    Only the headers that the balancer itself reads are stored by name. `find` looks others up in the lines:
+    a head may have thousands of them, and an object for each would need many times their bytes.
+
+    >>> fields = HeaderFields({b"x-item": b"7"}, b"X-Item: 7\r\nX-Plan: a\r\nx-plan: b\r\n")
+    >>> fields.find(b"x-item"), fields.find(b"x-plan"), fields.find(b"plan")
+    (b'7', b'b', b'')
+
+    Attributes:
+        lines: The header lines that are not stored by name.
+    """
+
+    def __init__(self, stored: dict[bytes, bytes], lines: bytes) -> None:
+        super().__init__(stored)
+        self.lines = lines
+
+    def find(self, name: bytes) -> bytes:
+        """Return the value of a header, given its name in lower case; empty if there is none."""
+        value = self.get(name)
+        if value is not None:
+            return value
+        prefix = name + b": "
+        for line in reversed(self.lines.split(b"\r\n")):
+            if line[: len(prefix)].lower() == prefix:
+                return line[len(prefix) :]
+        return b""
 
-    >>> end_to_end_headers([(b"Host", b"a"), (b"TE", b"x"), (b"X-Hop", b"1")], b"close, X-Hop")
-    b'Host: a\r\n'
 
-    Args:
-        headers: Names and values, as received.
-        connection_header: Value of the Connection header, which may name further headers to drop.
+class HeaderCollector:
+    r"""Collects the headers of one message: those that the balancer reads, and the lines to forward.
+
+    >>> collector = HeaderCollector()
+    >>> for name, value in ((b"Host", b"a"), (b"TE", b"x"), (b"X-Hop", b"1"), (b"Connection", b"X-Hop")):
+    ...     collector.add(name, name.lower(), value)
+    >>> collector.forwarded_lines(), collector.fields[b"te"], collector.connection_header
+    (b'Host: a\r\n', b'x', b',X-Hop')
+
+    Attributes:
+        fields: Values of the headers that the balancer reads or does not forward, by name in lower case.
+        lines: All header lines but those that are never forwarded.
+        connection_header: Values of the Connection headers, each preceded by a comma.
     """
-    dropped = {name.strip().lower() for name in connection_header.split(b",")} if connection_header else ()
-    lines = []
-    for name, value in headers:
-        lower_name = name.lower()
-        if lower_name not in _NOT_FORWARDED and lower_name not in dropped:
-            lines.append(b"%b: %b\r\n" % (name, value))
-    return b"".join(lines)
+
+    __slots__ = ("connection_header", "fields", "lines")
+
+    def __init__(self) -> None:
+        self.fields: dict[bytes, bytes] = {}
+        self.lines = bytearray()
+        self.connection_header = b""
+
+    def add(self, name: bytes, lower_name: bytes, value: bytes) -> None:
+        """Add a header."""
+        if lower_name not in _NOT_FORWARDED:
+            self.lines += b"%b: %b\r\n" % (name, value)
+            if lower_name in _READ:
+                self.fields[lower_name] = value
+            return
+        self.fields[lower_name] = value
+        if lower_name == b"connection":
+            self.connection_header += b"," + value
+
+    def forwarded_lines(self) -> bytes:
+        """Return the header lines to forward: without those that the Connection header names."""
+        lines = bytes(self.lines)
+        if not self.connection_header:
+            return lines
+        dropped = {name.strip().lower() for name in self.connection_header.split(b",")}
+        if dropped <= _CONNECTION_OPTIONS:
+            return lines
+        kept = (line for line in lines.split(b"\r\n") if line.partition(b":")[0].lower() not in dropped)
+        return b"".join(line + b"\r\n" for line in kept if line)
+
+    def buffered_bytes(self) -> int:
+        """Return how many bytes are held."""
+        return len(self.lines) + len(self.connection_header) + FIELD_BYTES * len(self.fields)
 
 
 def requests_close(connection_header: bytes) -> bool:
--- a/dahliabend/http/request_parser.py
+++ b/dahliabend/http/request_parser.py
@@ -5,6 +5,7 @@
 import httptools
 
 from dahliabend.http import headers as wire
+from dahliabend.http.headers import HeaderCollector, HeaderFields
 from dahliabend.http.responses import HTTP_1_1
 from dahliabend.http.streaming import BodySource, StreamingBody
 from dahliabend.transport.timers import MICROSECONDS_PER_SECOND, clock
@@ -21,7 +22,7 @@
         received_at: Clock time (us) since which the first byte may have been there.
         method: The method, as received.
         target: The target, as received.
-        fields: Header values by name in lower case; if a name occurs more than once, the last value.
+        fields: Header values by name in lower case.
         headers: The header lines to forward.
         body: The whole body, or a `StreamingBody` if it is too long to be buffered.
         keep_alive: Whether the client allows the connection to stay open.
@@ -30,7 +31,7 @@
     received_at: int
     method: bytes
     target: bytes
-    fields: dict[bytes, bytes]
+    fields: HeaderFields
     headers: bytes
     body: bytes | StreamingBody
     keep_alive: bool
@@ -73,10 +74,9 @@
         begun_at: Clock time (us) at which that byte was parsed.
         unparsed_bytes: Bytes since the underlying parser last reported progress.
         target: Target of the current request, as far as it has been received.
-        headers: Names and values of its headers, as received.
-        fields: Values of its headers by name in lower case.
-        connection_header: Values of its Connection headers, each preceded by a comma.
-        body: Parts of its body, as long as the body is short enough to be buffered.
+        headers: Its headers.
+        body: Its body, as long as that is short enough to be buffered; later the part of it that has been
+            received since the streaming body was last fed.
         section_bytes: Bytes received of its current section: of the head, then of the body.
         streaming_body: Its body, once that is too long to be buffered.
         head_complete_at: Clock time (us) at which its head was complete; 0 before.
@@ -95,10 +95,8 @@
 
     def _start_request(self) -> None:
         self.target = b""
-        self.headers: list[tuple[bytes, bytes]] = []
-        self.fields: dict[bytes, bytes] = {}
-        self.connection_header = b""
-        self.body: list[bytes] = []
+        self.headers = HeaderCollector()
+        self.body = bytearray()
         self.section_bytes = 0
         self.streaming_body: StreamingBody | None = None
         self.head_complete_at = 0
@@ -111,12 +109,34 @@
             self._http.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.fail(400)
+        if self.streaming_body is not None:
+            self._feed_streaming_body(self.streaming_body)
         if self.unparsed_bytes > wire.MAX_HEAD_BYTES:
             self.fail(431)  # the underlying parser would buffer an endless line
 
     def fail(self, status: int) -> None:
-        """Record the status of an error, unless there was one before."""
+        """Record the status of an error, unless there was one before, and drop what was received."""
         self.error_status = self.error_status or status
+        self.headers = HeaderCollector()
+        self.body = bytearray()
+
+    def discard(self) -> None:
+        """Drop what was received, as nothing more will be parsed."""
+        self._start_request()
+        self.received_at = 0
+        self.unparsed_bytes = 0
+        self._http = httptools.HttpRequestParser(self)
+
+    def buffered_bytes(self) -> int:
+        """Return how many bytes of an incomplete request are held."""
+        if not self.received_at:
+            return 0
+        return (
+            len(self.target)
+            + len(self.body)
+            + self.headers.buffered_bytes()
+            + min(self.unparsed_bytes, wire.MAX_HEAD_BYTES)
+        )
 
     @property
     def http_version(self) -> str:
@@ -167,15 +187,14 @@
             self.fail(431)
         if self.error_status:
             return
-        self.headers.append((name, value))
         lower_name = name.lower()
-        if lower_name == b"connection":
-            self.connection_header += b"," + value
-        elif lower_name == b"expect" and value.lower() == b"100-continue":
-            self.receiver.continue_expected()
-        if lower_name in (wire.TRACE_ID_HEADER, wire.TIMEOUT_HEADER) and lower_name in self.fields:
+        is_repeated = lower_name in self.headers.fields
+        if is_repeated and lower_name in (wire.TRACE_ID_HEADER, wire.TIMEOUT_HEADER):
             self.fail(400)  # with two values, it is unclear which one applies
-        self.fields[lower_name] = value
+            return
+        if lower_name == b"expect" and not is_repeated and value.lower() == b"100-continue":
+            self.receiver.continue_expected()
+        self.headers.add(name, lower_name, value)
 
     def on_headers_complete(self) -> None:
         """Check the body length, and stream the body if it is too long to be buffered."""
@@ -183,7 +202,7 @@
         self.unparsed_bytes = 0
         self.head_complete_at = clock()
         self.last_body_byte_at = self.head_complete_at
-        length = int(self.fields.get(b"content-length") or 0)
+        length = int(self.headers.fields.get(b"content-length") or 0)
         if length > wire.MAX_BODY_BYTES:
             self.fail(413)
         elif length > wire.MAX_BUFFERED_BYTES and not self.error_status:
@@ -198,27 +217,34 @@
         self.section_bytes += len(data)
         if self.section_bytes > wire.MAX_BODY_BYTES:
             self.fail(413)
-        elif self.error_status:
-            return
-        elif self.streaming_body is not None:
-            self.streaming_body.feed(data)
-        else:
-            self.body.append(data)
-            if self.section_bytes > wire.MAX_BUFFERED_BYTES:
+        elif not self.error_status:
+            self.body += data
+            if self.streaming_body is None and self.section_bytes > wire.MAX_BUFFERED_BYTES:
                 self._start_streaming_body(None)
 
     def _start_streaming_body(self, length: int | None) -> None:
         """Report the request with a body that is still being received."""
-        self.streaming_body = StreamingBody(self.receiver, length, self.body)
+        self.streaming_body = StreamingBody(self.receiver, length, bytes(self.body))
+        self.body = bytearray()
         self._report_request(self.streaming_body)
 
+    def _feed_streaming_body(self, streaming_body: StreamingBody) -> None:
+        """Pass on what has been received, in one piece: a client may send chunks of a byte each."""
+        if self.body:
+            part = bytes(self.body)
+            self.body = bytearray()
+            streaming_body.feed(part)
+
     def on_message_complete(self) -> None:
         """Report the request, or the end of its streamed body."""
         if self.error_status:
             return
         if self.streaming_body is None:
-            self._report_request(b"".join(self.body))
+            self._report_request(bytes(self.body))
+            self.headers = HeaderCollector()
+            self.body = bytearray()
         else:
+            self._feed_streaming_body(self.streaming_body)
             self.streaming_body.mark_complete()
             self.receiver.streaming_body_received(self.streaming_body)
         self.received_at = 0
@@ -228,12 +254,13 @@
         # Clients of older HTTP versions may not support persistent connections.
         keep_alive = (
             self._http.should_keep_alive()
-            and not wire.requests_close(self.connection_header)
+            and not wire.requests_close(self.headers.connection_header)
             and self._http.get_http_version() == HTTP_1_1
         )
-        headers = wire.end_to_end_headers(self.headers, self.connection_header)
+        headers = self.headers.forwarded_lines()
+        all_lines = bytes(self.headers.lines) if self.headers.connection_header else headers
+        fields = HeaderFields(self.headers.fields, all_lines)
+        method = self._http.get_method()
         self.receiver.request_received(
-            ReceivedRequest(
-                self.received_at, self._http.get_method(), self.target, self.fields, headers, body, keep_alive
-            )
+            ReceivedRequest(self.received_at, method, self.target, fields, headers, body, keep_alive)
         )
--- a/dahliabend/http/streaming.py
+++ b/dahliabend/http/streaming.py
@@ -64,7 +64,7 @@
     Attributes:
         source: The connection that the body is received on.
         length: Length of the body in bytes; None if it is received in chunks.
-        parts: The buffered parts, from the beginning of the body.
+        beginning: The buffered beginning of the body.
         size: Bytes received so far.
         observer: Notified when the beginning of the body is dropped.
         sink: The connection that the body is written to, if any.
@@ -76,11 +76,11 @@
         resumed_at: Clock time (us) since which the source has been read, if it is not suspended.
     """
 
-    def __init__(self, source: BodySource, length: int | None, parts: list[bytes]) -> None:
+    def __init__(self, source: BodySource, length: int | None, beginning: bytes = b"") -> None:
         self.source = source
         self.length = length
-        self.parts = parts
-        self.size = sum(map(len, parts))
+        self.beginning = bytearray(beginning)
+        self.size = len(beginning)
         self.observer: BodyObserver | None = None
         self.sink: BodySink | None = None
         self.is_complete = False
@@ -95,7 +95,7 @@
         self.last_progress = clock()
         if not self.is_beginning_dropped:
             if self.sink is None or self.size <= MAX_BUFFERED_BYTES:
-                self.parts.append(data)
+                self.beginning += data
             else:
                 self._drop_beginning()
         if self._client_has_more():
@@ -130,7 +130,7 @@
 
     def _drop_beginning(self) -> None:
         self.is_beginning_dropped = True
-        self.parts = []
+        self.beginning = bytearray()
         if self.observer is not None:
             self.observer.body_consumed()
 
@@ -147,8 +147,8 @@
     def attach(self, sink: BodySink) -> None:
         """Write the body to this connection, from its beginning."""
         self.sink = sink
-        for part in self.parts:
-            self._write(sink, part)
+        if self.beginning:
+            self._write(sink, bytes(self.beginning))
         if self.is_complete:
             sink.finish_upload(self._terminator())
         else:
--- a/dahliabend/http/upstream_connection.py
+++ b/dahliabend/http/upstream_connection.py
@@ -6,6 +6,7 @@
 
 from dahliabend.errors import ProtocolError
 from dahliabend.http import headers as wire
+from dahliabend.http.headers import HeaderCollector
 from dahliabend.http.streaming import BodySource, StreamingBody
 from dahliabend.transport.connection import Connection
 from dahliabend.transport.descriptor_budget import DescriptorBudget
@@ -105,10 +106,9 @@
         is_streaming: Whether the response is passed on while it is received.
         head_complete: Whether the head of the response has been received.
         parse_error: Why the response could not be parsed; empty if it could.
-        headers: Names and values of the response headers, as received.
-        body: Buffered parts of the response body.
+        headers: The response headers.
+        body: The buffered part of the response body.
         section_bytes: Bytes received of the current section of the response: of the head, then of the body.
-        connection_header: Values of the response's Connection headers, each preceded by a comma.
         load_report: The upstream's load report, if any.
         not_executed: Whether the upstream says that it did not execute the request.
         length: Length of the response body in bytes, if the response states it.
@@ -129,6 +129,9 @@
         self.handler: ResponseHandler | None = None
         self.keep_alive = True
         self.parser: httptools.HttpResponseParser
+        self.headers = HeaderCollector()
+        self.body = bytearray()
+        self.unparsed_bytes = 0
         self.request_pending = False
         self.upload: StreamingBody | None = None
 
@@ -190,10 +193,9 @@
         """
         if self.status:
             raise ProtocolError("more than was asked for")  # a second response, which would be appended
-        self.headers: list[tuple[bytes, bytes]] = []
-        self.body: list[bytes] = []
+        self.headers = HeaderCollector()
+        self.body = bytearray()
         self.section_bytes = 0
-        self.connection_header = b""
         self.load_report = b""
         self.not_executed = False
         self.length: int | None = None
@@ -218,15 +220,13 @@
             self.load_report = value
         elif lower_name == wire.NOT_EXECUTED_HEADER:
             self.not_executed = value == b"1"
-        elif lower_name == b"connection":
-            self.connection_header += b"," + value
         elif lower_name == b"content-length":
             self.length = int(value)
             self.has_usable_framing = self.length <= wire.MAX_BODY_BYTES
         elif lower_name == b"transfer-encoding":
             self.has_transfer_encoding = True
             self.has_usable_framing = value.strip().lower().endswith(b"chunked")
-        self.headers.append((name, value))
+        self.headers.add(name, lower_name, value)
 
     def on_headers_complete(self) -> None:
         """Check that the head states how the body ends.
@@ -244,7 +244,7 @@
         self.head_complete = status >= STATUS_OK
         if self.head_complete:
             is_unsized = self.length is None and not self.has_transfer_encoding
-            self.ends_with_connection = is_unsized and wire.requests_close(self.connection_header)
+            self.ends_with_connection = is_unsized and wire.requests_close(self.headers.connection_header)
             has_end = self.has_usable_framing or self.ends_with_connection
             if not has_end and status not in STATUSES_WITHOUT_BODY:
                 raise ProtocolError("no length, or too long a body")
@@ -265,12 +265,10 @@
         self.section_bytes += len(data)
         if self.section_bytes > wire.MAX_BODY_BYTES:
             raise ProtocolError("too long a body")
-        if self.is_streaming:
-            self.handler.response_part(data)
-        elif self.section_bytes <= wire.MAX_BUFFERED_BYTES:
-            self.body.append(data)
-        elif self.parser.get_status_code() == STATUS_OK:
-            self.body.append(data)
+        if self.parser.get_status_code() != STATUS_OK:
+            return  # no use is made of it
+        self.body += data
+        if not self.is_streaming and self.section_bytes > self.memory.allowance():
             self.start_streaming()
 
     def start_streaming(self) -> None:
@@ -278,13 +276,15 @@
         if self.is_streaming or self.handler is None or self.status:
             return
         self.is_streaming = True
-        headers = wire.end_to_end_headers(self.headers, self.connection_header)
-        self.handler.response_started(headers, self.length, self)
-        parts = self.body
-        self.body = []
-        for part in parts:
-            if self.handler is not None:
-                self.handler.response_part(part)
+        self.handler.response_started(self.headers.forwarded_lines(), self.length, self)
+        self._pass_on_body()
+
+    def _pass_on_body(self) -> None:
+        """Pass on what has been received of a streamed body, in one piece however small its chunks are."""
+        if self.is_streaming and self.body and self.handler is not None:
+            part = bytes(self.body)
+            self.body = bytearray()
+            self.handler.response_part(part)
 
     def on_message_complete(self) -> None:
         """Record the end of the response; interim responses such as 100 Continue are skipped."""
@@ -310,6 +310,8 @@
             if not self.status:
                 self._fail()
                 return
+        if self.is_streaming:
+            self._pass_on_body()
         if self.status:
             self._complete_response()
         elif self.unparsed_bytes > wire.MAX_HEAD_BYTES:
@@ -333,14 +335,15 @@
         handler = self.handler
         self.handler = None
         self.reading_suspended = False
-        self.keep_alive = self.keep_alive and not wire.requests_close(self.connection_header)
+        self.keep_alive = self.keep_alive and not wire.requests_close(self.headers.connection_header)
         response = UpstreamResponse(
             status=self.status,
-            headers=wire.end_to_end_headers(self.headers, self.connection_header),
-            body=b"".join(self.body),
+            headers=self.headers.forwarded_lines(),
+            body=bytes(self.body),
             load_report=self.load_report,
             not_executed=self.not_executed,
         )
+        self._drop_response()
         if self.keep_alive and self.is_flushed:
             self.owner.return_connection(self)
         else:
@@ -348,6 +351,20 @@
             self.abort()
         handler.response_complete(response)
 
+    def _drop_response(self) -> None:
+        """Drop what is buffered of the response."""
+        self.headers = HeaderCollector()
+        self.body = bytearray()
+
+    def buffered_bytes(self) -> int:
+        """Return how many bytes of a request, a response and their bodies the connection holds."""
+        held = len(self.unprocessed) + self.unsent_bytes
+        if self.handler is not None:
+            held += (
+                len(self.body) + self.headers.buffered_bytes() + min(self.unparsed_bytes, wire.MAX_HEAD_BYTES)
+            )
+        return held
+
     def _fail(self) -> None:
         """Report a response that cannot be used, and close the connection."""
         handler = self.handler
--- a/dahliabend/proxy/base_dispatcher.py
+++ b/dahliabend/proxy/base_dispatcher.py
@@ -1,8 +1,10 @@
 """Base class of the dispatchers that client connections hand requests to: counters and shutdown state."""
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import Protocol
 
+MAX_LOGGED_TARGET_BYTES = 100
+
 
 class RequestMetrics(Protocol):
     """Interface of the counters of requests by class, which operators can read."""
@@ -24,14 +26,16 @@
 
     Attributes:
         metrics: Counters of requests.
+        log: Called with an event's name and its fields.
         count_response: Method of `metrics` that counts a response by class name and status.
         evacuated: Whether an operator has asked for clients to be directed to other balancers.
         shutdown_deadline: When the remaining requests are given up because the process exits (us); 0 unless
             the process is shutting down.
     """
 
-    def __init__(self, metrics: RequestMetrics) -> None:
+    def __init__(self, metrics: RequestMetrics, log: Callable[..., None]) -> None:
         self.metrics = metrics
+        self.log = log
         self.count_response = metrics.count_response
         self.evacuated = False
         self.shutdown_deadline = 0
@@ -40,6 +44,21 @@
         """Return whether clients are to use another balancer: during a shutdown or an evacuation."""
         return self.shutdown_deadline > 0 or self.evacuated
 
+    def request_shed(self, target: bytes, held_bytes: int) -> None:
+        """Log the rejection of a request that was being received, for lack of memory."""
+        shown = target[:MAX_LOGGED_TARGET_BYTES].decode("latin-1")
+        self.log("request.shed", target=shown, held_bytes=held_bytes)
+
+    def connection_closed(self, reason: str, state: str, queued_requests: int, held_bytes: int) -> None:
+        """Log that this process has closed the connection of a client that awaits an answer."""
+        self.log(
+            "connection.closed",
+            reason=reason,
+            state=state,
+            queued_requests=queued_requests,
+            held_bytes=held_bytes,
+        )
+
     def request_opened(self) -> None:
         """Count a request of a known class as open."""
         self.metrics.open_requests += 1
--- a/dahliabend/proxy/dispatcher.py
+++ b/dahliabend/proxy/dispatcher.py
@@ -6,7 +6,7 @@
 
 from dahliabend.config.operator_file.schema import OperatorFile
 from dahliabend.http.dispatch import Client, IncomingRequest
-from dahliabend.http.headers import TIMEOUT_HEADER, TRACE_ID_HEADER
+from dahliabend.http.headers import TIMEOUT_HEADER, TRACE_ID_HEADER, HeaderFields
 from dahliabend.http.responses import retry_after_header
 from dahliabend.proxy.base_dispatcher import BaseDispatcher, RequestMetrics
 from dahliabend.proxy.mirroring import TRACE_ID_SUFFIX, DiscardingClient, mirror_headers
@@ -66,8 +66,7 @@
     routes: ActiveRoutes
 
     def __init__(self, metrics: RequestMetrics, log: Callable[..., None], seed: int) -> None:
-        super().__init__(metrics)
-        self.log = log
+        super().__init__(metrics, log)
         self.random = Random(seed)
         self.pools: dict[int, Pool] = {}
         self.pools_by_name: dict[str, Pool] = {}
@@ -119,16 +118,14 @@
 
     # Requests from clients
 
-    def classify(self, method: bytes, path: bytes, headers: dict[bytes, bytes]) -> tuple[bytes, int] | None:
+    def classify(self, method: bytes, path: bytes, headers: HeaderFields) -> tuple[bytes, int] | None:
         """Return the name of a request's class and the number of its route, or None if no route matches."""
         routes = self.routes
-        matched = {name: headers.get(name.encode(), b"").decode("latin-1") for name in routes.matched_headers}
+        matched = {name: headers.find(name.encode()).decode("latin-1") for name in routes.matched_headers}
         number = routes.table.find(method.decode("latin-1"), path.decode("latin-1"), matched)
         return None if number is None else (routes.compiled_routes[number].class_name, number)
 
-    def read_trace_id_and_timeout(
-        self, route_number: int, headers: dict[bytes, bytes]
-    ) -> tuple[bytes, bytes]:
+    def read_trace_id_and_timeout(self, route_number: int, headers: HeaderFields) -> tuple[bytes, bytes]:
         """Return a request's trace id and its client's timeout in milliseconds, as digits.
 
         Where the client sends no such header, the trace id is generated at random and the timeout is the
@@ -150,7 +147,7 @@
             self._reject_by_limit(incoming.client, route, now)
             return NO_HANDLE
         incoming.client.on_request_finished = route.limit.release
-        split_key = incoming.fields.get(route.split_by, b"") if route.split_by else b""
+        split_key = incoming.fields.find(route.split_by) if route.split_by else b""
         candidates = route.candidate_pools(split_key, self.ready_fraction)
         if not incoming.fields.get(TRACE_ID_HEADER):
             headers = incoming.headers + b"X-Trace-Id: %b\r\n" % incoming.trace_id
--- a/dahliabend/proxy/endpoint.py
+++ b/dahliabend/proxy/endpoint.py
@@ -115,7 +115,7 @@
         return (
             not connection.closed
             and idle_time < self.resources.idle_timeout
-            and not connection.receive_buffer.count
+            and not connection.unprocessed
             and connection.unread_in_kernel() is None
         )
 
--- a/dahliabend/proxy/router.py
+++ b/dahliabend/proxy/router.py
@@ -5,7 +5,7 @@
 from dahliabend.config.server_settings import ServerSettings
 from dahliabend.errors import StaleHandleError
 from dahliabend.http.dispatch import IncomingRequest
-from dahliabend.http.headers import TIMEOUT_HEADER, TRACE_ID_HEADER
+from dahliabend.http.headers import TIMEOUT_HEADER, TRACE_ID_HEADER, HeaderFields
 from dahliabend.http.responses import retry_after_header
 from dahliabend.http.upstream_connection import UpstreamResponse
 from dahliabend.model import Outcome
@@ -33,6 +33,7 @@
         methods: HTTP methods that are served.
         timers: Timers of the process.
         requests: Open requests by handle.
+        memory: The account of what the process holds for its peers.
         trace_ids: Trace ids of the open requests.
         route_names: Route names by class index, where every route has a class of its own; otherwise empty.
     """
@@ -47,10 +48,10 @@
         metrics: RequestMetrics,
         log: Callable[..., None],
     ) -> None:
-        BaseDispatcher.__init__(self, metrics)
+        BaseDispatcher.__init__(self, metrics, log)
         PoolState.__init__(self, table, settings.monotonic_offset)
         self.timers = timers
-        self.log = log
+        self.memory = table.resources.descriptors.memory
         self.request_log = RequestLog(log)
         self.requests: HandleTable[Request] = HandleTable(settings.max_in_flight)
         self.trace_ids: set[bytes] = set()
@@ -115,7 +116,7 @@
 
     # Requests from clients
 
-    def classify(self, method: bytes, path: bytes, headers: dict[bytes, bytes]) -> tuple[bytes, int] | None:
+    def classify(self, method: bytes, path: bytes, headers: HeaderFields) -> tuple[bytes, int] | None:
         """Return the name and index of a request's class, or None if the class is not configured.
 
         The class name is the first segment of the path.
@@ -125,7 +126,7 @@
         index = self.class_indices.get(name) if path[:1] == b"/" else None
         return None if index is None else (name, index)
 
-    def read_trace_id_and_timeout(self, class_index: int, headers: dict[bytes, bytes]) -> tuple[bytes, bytes]:
+    def read_trace_id_and_timeout(self, class_index: int, headers: HeaderFields) -> tuple[bytes, bytes]:
         """Return the request's trace id and its client's timeout in milliseconds, as digits.
 
         A missing header is returned as empty bytes.
@@ -151,12 +152,17 @@
             # An upstream would take it for a repeat of the open request that has the same id.
             incoming.client.send_error(409)
             return NO_HANDLE
+        if self.memory.is_full():
+            self.log("request.refused_for_memory", trace_id=incoming.trace_id.decode("latin-1"))
+            incoming.client.send_response(503, b"", b"out of memory\n")
+            return NO_HANDLE
         request = self._create_request(incoming, class_index)
         request.handle = self.requests.add(request)
         if request.handle == NO_HANDLE:
             self.log("request_table.exhausted", requests=len(self.requests))
             incoming.client.send_response(503, b"", b"too many transactions\n")
             return NO_HANDLE
+        self.memory.held += request.held_bytes
         self.trace_ids.add(incoming.trace_id)
         request.on_rejected = on_rejected
         self._admit(request)
@@ -320,7 +326,8 @@
         request.policy.open_requests -= 1
         if not request.policy.open_requests and request.policy is not self.policies[-1]:
             self.policies.remove(request.policy)
-        self.requests.remove(request.handle)
+        if self.requests.remove(request.handle) is not None:
+            self.memory.held -= request.held_bytes
         self.trace_ids.discard(request.incoming.trace_id)
         # Breaks the reference cycle between request and attempts: otherwise the request and its body would
         # stay in memory until the garbage collector runs.
--- a/dahliabend/server/log_events.py
+++ b/dahliabend/server/log_events.py
@@ -35,6 +35,11 @@
         "an attempt did not succeed",
         ("trace_id", "attempt_index", "upstream", "outcome", "duration_ms", "reason"),
     ),
+    "connection.closed": LogEvent(
+        "info",
+        "this process closed the connection of a client whose request had begun or waited for its response",
+        ("reason", "state", "queued_requests", "held_bytes"),
+    ),
     "demand.reported": LogEvent(
         "info", "this balancer tells the others how many requests it gets", ("weight",)
     ),
@@ -72,6 +77,16 @@
     "limit_share.changed": LogEvent(
         "info", "this balancer's share of a shared limit, by its demand", ("route", "share", "demand")
     ),
+    "memory.limited": LogEvent(
+        "info",
+        "the memory limit is known, and how much of it peers may use (bytes)",
+        ("limit", "baseline", "capacity", "max_connections"),
+    ),
+    "memory.relieved": LogEvent(
+        "warning",
+        "the process came close to its memory limit: slow peers were rejected or closed (bytes)",
+        ("resident", "held", "held_now"),
+    ),
     "member.changed": LogEvent(
         "info",
         "the state of one balancer changed: joined, suspected, refuted, left, died, returned; "
@@ -147,6 +162,14 @@
     "request.truncated": LogEvent(
         "warning", "a response that had begun could not be finished", REQUEST_FIELDS
     ),
+    "request.refused_for_memory": LogEvent(
+        "info", "a request was rejected before its admission, as too much memory is held", ("trace_id",)
+    ),
+    "request.shed": LogEvent(
+        "info",
+        "a request was rejected while it was received, as too much memory is held",
+        ("target", "held_bytes"),
+    ),
     "request_table.exhausted": LogEvent("warning", "more requests than the table holds", ("requests",)),
     "server.start_failed": LogEvent("error", "it could not start", ("reason",)),
     "server.started": LogEvent("info", "clients are accepted", ("address", "entry_tier", "pools")),
--- /dev/null
+++ b/dahliabend/server/memory_guard.py
@@ -0,0 +1,91 @@
+"""The memory limit of the process: how much of it peers may use, and what happens close to it."""
+
+import gc
+
+from dahliabend.server.log import EventLog
+from dahliabend.transport import host_info
+from dahliabend.transport.descriptor_budget import DescriptorBudget
+from dahliabend.transport.memory_budget import MemoryBudget
+from dahliabend.transport.timers import TimerQueue, clock
+
+MEGABYTE = 1 << 20
+CHECK_INTERVAL = 50_000  # microseconds between two readings of the resident memory
+MARGIN_FRACTION = 1 / 32  # of the limit, for what is on no account
+MIN_MARGIN = MEGABYTE  # bytes
+MIN_CAPACITY = MEGABYTE  # bytes for peers, however little the limit leaves
+EMERGENCY_FRACTION = 1 / 4  # of the capacity, which is aimed at when the process comes close to its limit
+FULL_SHARE = 1.0
+
+
+class MemoryGuard:
+    """Derives the capacity of the memory budget from the limit, and compares the account with the process.
+
+    The account estimates what objects need. If the process holds more than that, so that it comes close to
+    its limit, holders have to give up what they hold although the account is not at its high-water mark.
+
+    Attributes:
+        limit: The memory limit in bytes.
+        memory: The memory budget.
+        baseline: Resident bytes of the process with no peer.
+        resident: Resident bytes at the last check.
+        share: Part of the limit that this process may use, as others of an upgrade use the rest.
+    """
+
+    def __init__(
+        self,
+        limit: int,
+        memory: MemoryBudget,
+        descriptors: DescriptorBudget,
+        timers: TimerQueue,
+        log: EventLog,
+    ) -> None:
+        self.limit = limit
+        self.memory = memory
+        self.descriptors = descriptors
+        self.timers = timers
+        self.log = log
+        self.baseline = 0
+        self.resident = 0
+        self.share = FULL_SHARE
+
+    @property
+    def margin(self) -> int:
+        """Bytes of the limit that are on no account."""
+        return max(MIN_MARGIN, int(self.limit * MARGIN_FRACTION))
+
+    def open(self) -> None:
+        """Take what the process holds now for its baseline, and begin to check."""
+        self.baseline = host_info.resident_bytes()
+        self._apply_capacity()
+        self.log(
+            "memory.limited",
+            limit=self.limit,
+            baseline=self.baseline,
+            capacity=self.memory.capacity,
+            max_connections=self.descriptors.limit,
+        )
+        if self.baseline:
+            self._check()
+
+    def set_share(self, share: float) -> None:
+        """Limit this process to a part of the limit, as another process uses the rest."""
+        self.share = share
+        if self.baseline:
+            self._apply_capacity()
+
+    def _apply_capacity(self) -> None:
+        capacity = int(self.limit * self.share) - self.baseline - self.margin
+        self.memory.set_capacity(max(MIN_CAPACITY, capacity))
+        self.descriptors.apply_limit()
+
+    def _check(self) -> None:
+        """Read the resident memory; close to the limit, make holders give up most of what they hold."""
+        self.timers.schedule(clock() + CHECK_INTERVAL, self._check)
+        self.resident = host_info.resident_bytes()
+        self.memory.relieve_if_needed()
+        if self.resident <= self.limit - self.margin // 2:
+            return
+        held = self.memory.held
+        if self.memory.relieve(int(self.memory.capacity * EMERGENCY_FRACTION), clock()):
+            gc.collect()
+            self.log("memory.relieved", resident=self.resident, held=held, held_now=self.memory.held)
--- a/dahliabend/server/platform_server.py
+++ b/dahliabend/server/platform_server.py
@@ -46,6 +46,7 @@
             listen_address=settings.listen,
             admin_address=settings.admin,
             descriptor_limit=settings.descriptor_limit,
+            memory_limit=settings.memory_limit,
             log=log,
         )
         self.environment = environment
--- a/dahliabend/server/pool_settings.py
+++ b/dahliabend/server/pool_settings.py
@@ -69,6 +69,7 @@
         shared_directory="",
         seed=seed,
         descriptor_limit=descriptor_limit,
+        memory_limit=0,
         known_endpoints={},
         verbose=False,
         settings=settings,
--- a/dahliabend/server/server.py
+++ b/dahliabend/server/server.py
@@ -12,15 +12,19 @@
 from dahliabend.server.admin import AdminApi
 from dahliabend.server.lifecycle import ACCEPT_PERIOD, ANSWER_MARGIN, BLOCKED_SIGNALS, Lifecycle
 from dahliabend.server.log import Log
+from dahliabend.server.memory_guard import MEGABYTE, MemoryGuard
 from dahliabend.server.metrics import Metrics
 from dahliabend.transport.descriptor_budget import ADMIN_DESCRIPTORS, PROCESS_DESCRIPTORS, DescriptorBudget
 from dahliabend.transport.listener import Listener
+from dahliabend.transport.memory_budget import MemoryBudget
 from dahliabend.transport.timers import TimerQueue, clock
+from dahliabend.transport.turn_budget import TurnBudget
 
 if TYPE_CHECKING:
     from dahliabend.proxy.dispatcher import Dispatcher
 
 Address = tuple[str, int]  # IPv4 address and port
+DEFAULT_MEMORY_LIMIT = 1024 * MEGABYTE  # bytes, where the configuration states none
 
 # All times are in microseconds.
 CLIENT_IDLE_TIMEOUT = 2_000_000  # client connections that are idle for longer are closed
@@ -35,6 +39,9 @@
     Attributes:
         router: The router of client requests; set by the subclass.
         max_request_time: The longest deadline of any request class so far, in microseconds.
+        memory: The account of what the process holds for its peers.
+        turn: Divides the event loop's time among the connections.
+        memory_guard: Compares the account with the process.
         descriptors: The descriptor budget of client and upstream connections.
         admin_descriptors: The budget of admin connections; separate, so that clients can't use it up.
         admin_api: The admin API.
@@ -44,7 +51,13 @@
     router: "Router | Dispatcher"
 
     def __init__(
-        self, *, listen_address: Address, admin_address: Address | None, descriptor_limit: int, log: Log
+        self,
+        *,
+        listen_address: Address,
+        admin_address: Address | None,
+        descriptor_limit: int,
+        log: Log,
+        memory_limit: int = DEFAULT_MEMORY_LIMIT,
     ) -> None:
         """Create a server that does not listen yet; an event loop has to be running.
 
@@ -53,6 +66,7 @@
             admin_address: The address that operators connect to; None for no admin API.
             descriptor_limit: The maximum number of descriptors that the process may have open.
             log: The event log.
+            memory_limit: The memory in bytes at which the process is killed.
         """
         loop = asyncio.get_running_loop()
         self.listen_address = listen_address
@@ -61,10 +75,15 @@
         self.max_request_time = 0
         self.timers = TimerQueue(loop)
         reserved = ADMIN_DESCRIPTORS if admin_address else 0
-        self.descriptors = DescriptorBudget(descriptor_limit - reserved)
+        self.memory = MemoryBudget()
+        self.turn = TurnBudget(loop)
+        self.descriptors = DescriptorBudget(descriptor_limit - reserved, self.memory, self.turn)
+        self.memory_guard = MemoryGuard(memory_limit, self.memory, self.descriptors, self.timers, log)
         self.metrics = Metrics()
         self.listener = Listener(self.timers, self.descriptors, self.make_client_connection)
-        self.admin_descriptors = DescriptorBudget(PROCESS_DESCRIPTORS + ADMIN_DESCRIPTORS)
+        self.admin_descriptors = DescriptorBudget(
+            PROCESS_DESCRIPTORS + ADMIN_DESCRIPTORS, self.memory, self.turn
+        )
         self.admin_api = AdminApi(self, log)
         self.admin_listener = Listener(self.timers, self.admin_descriptors, self.make_admin_connection)
         self.lifecycle = Lifecycle(self, loop)
@@ -87,6 +106,7 @@
         if self.admin_address:
             self.admin_listener.open(self.admin_address)
         await self.prepare()
+        self.memory_guard.open()
         self.open_listener()
         self.lifecycle.mark_serving()
         address = ":".join(map(str, self.listen_address))
--- a/dahliabend/simulation/leaks.py
+++ b/dahliabend/simulation/leaks.py
@@ -105,7 +105,7 @@
         sockets = len(process.sockets)
         watches = sum(type(connection).__name__ == "WatchConnection" for connection in tables)
         closed = sum(connection.closed for connection in tables)
-        buffered = sum(connection.unsent_bytes + connection.receive_buffer.count for connection in tables)
+        buffered = sum(connection.unsent_bytes + len(connection.unprocessed) for connection in tables)
         endpoints = program.router.table.endpoints.values()
         idle = sum(len(endpoint.idle_connections) for endpoint in endpoints)
         to_upstreams = sum(len(endpoint.connections) for endpoint in endpoints)
--- a/dahliabend/simulation/simulated_host.py
+++ b/dahliabend/simulation/simulated_host.py
@@ -25,6 +25,7 @@
     "inherited_socket",
     "read_file",
     "peer_has_closed",
+    "resident_bytes",
 )
 
 
@@ -135,6 +136,10 @@
         end = sock.connected_end
         return end.fin_received or end.reset_received
 
+    def resident_bytes(self) -> int:
+        """Return 0: simulated processes have no memory of their own."""
+        return 0
+
     def monotonic_ns(self) -> int:
         """Return the time of the virtual clock, in nanoseconds."""
         return self.scheduler.now * NANOSECONDS_PER_MICROSECOND
--- a/dahliabend/transport/connection.py
+++ b/dahliabend/transport/connection.py
@@ -1,18 +1,17 @@
-"""A connection: one socket with a ring buffer in each direction."""
+"""A connection: one socket, its input that is not processed yet, and its output that is not sent yet."""
 
 import asyncio
 import contextlib
 import socket
 import struct
-from collections import deque
 from typing import cast
 
 from dahliabend.transport import host_info
 from dahliabend.transport.descriptor_budget import DescriptorBudget
-from dahliabend.transport.ring_buffer import RingBuffer
 from dahliabend.transport.timers import clock
+from dahliabend.transport.turn_budget import CONNECTION_TIME, RECEIVE_AREA_BYTES, SMALL_READ_BYTES
 
-BUFFER_SIZE = 8192  # bytes of each ring buffer
+WRITE_BYTES = 8192  # passed to the transport at once
 # Bytes. Without a limit the kernel's buffer grows to megabytes. Bytes in it count as written, so a peer that
 # reads slowly would seem to make no progress while the buffer is emptied.
 KERNEL_SEND_BUFFER_SIZE = 256 * 1024
@@ -24,17 +23,23 @@
 
     Subclasses give the bytes a meaning by overriding `bytes_received`, `output_flushed`, `transport_paused`
     and `connection_closed`. The socket's descriptor counts against the `DescriptorBudget` from the
-    constructor until `release`.
+    constructor until `release`, what is buffered against the `MemoryBudget`, and the processing of input
+    against the `TurnBudget`.
 
     Attributes:
         handle: Handle of this connection in the descriptor budget.
-        receive_buffer: Bytes that were received and not yet passed to `bytes_received`.
-        send_buffer: Bytes to pass to the transport next.
-        pending: Pieces to write that are not entirely in the send buffer yet.
-        pending_offset: Bytes of the first pending piece that are in the send buffer already.
-        pending_bytes: Bytes of the pending pieces that are not in the send buffer yet.
-        bytes_in_transport: Bytes of the send buffer that the transport has not finished reading.
+        memory: The account of what is buffered.
+        turn: Divides the event loop's time among the connections.
+        held_bytes: Bytes on the account for this connection.
+        attained_time: Processing time (us) since no input was left.
+        unprocessed: Bytes that were received and not yet passed to `bytes_received`.
+        has_more_input: Whether more input follows the bytes that are being processed.
+        pending: Pieces to write that the kernel has not taken entirely.
+        pending_offset: Bytes of the first pending piece that the kernel has taken.
+        unsent_bytes: Bytes of the pending pieces that the kernel has not taken yet.
+        bytes_in_transport: Bytes of the pending pieces that the transport has not finished writing.
         write_paused: Whether the transport has more bytes than it can write.
+        write_paused_at: Clock time (us) at which that was last found.
         write_failed: Whether the kernel refused a write.
         parsing_blocked: Whether received bytes have to wait until earlier requests are answered.
         reading_suspended: Whether reading is stopped because the receiver of the bytes is slower.
@@ -42,20 +47,26 @@
         unprocessed_since: Clock time (us) since which received bytes may have waited; 0 if none wait.
         may_wait_in_kernel: Whether bytes may have waited in the kernel, because reading was paused.
         closed: Whether the connection is closed or being closed.
+        close_reason: Why this process has closed it, if that is worth a note; else empty.
         transport: The transport; None before the connection is established and after it is lost.
         sock: The socket; None before it is connected, and after the connection is lost or reset.
     """
 
     def __init__(self, descriptors: DescriptorBudget) -> None:
         self.descriptors = descriptors
+        self.memory = descriptors.memory
+        self.turn = descriptors.turn
         self.handle = descriptors.register(self)
-        self.receive_buffer = RingBuffer(BUFFER_SIZE)
-        self.send_buffer = RingBuffer(BUFFER_SIZE)
-        self.pending: deque[bytes] = deque()
+        self.held_bytes = 0
+        self.attained_time = 0
+        self.unprocessed = bytearray()
+        self.has_more_input = False
+        self.pending: list[bytes | bytearray] = []
         self.pending_offset = 0
-        self.pending_bytes = 0
+        self.unsent_bytes = 0
         self.bytes_in_transport = 0
         self.write_paused = False
+        self.write_paused_at = 0
         self.write_failed = False
         self.parsing_blocked = False
         self.reading_suspended = False
@@ -63,6 +74,7 @@
         self.unprocessed_since = 0
         self.may_wait_in_kernel = False
         self.closed = False
+        self.close_reason = ""
         self.transport: asyncio.Transport | None = None
         self.sock: socket.socket | None = None
 
@@ -80,6 +92,22 @@
     def connection_closed(self) -> None:
         """Handle the end of the connection; its descriptor has been released."""
 
+    def input_step(self) -> int:
+        """Return how many bytes may be passed to `bytes_received` at once."""
+        return RECEIVE_AREA_BYTES
+
+    def buffered_bytes(self) -> int:
+        """Return how many bytes this connection holds for its peer, in both directions."""
+        return len(self.unprocessed) + self.unsent_bytes
+
+    def relief_rank(self, now: int) -> int | None:
+        """Return in which order the connection has to give up what it holds; None: it can't."""
+        del now
+        return None
+
+    def relieve(self) -> None:
+        """Give up what the connection holds."""
+
     # Reading
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -91,33 +119,87 @@
             self.transport.abort()
 
     def get_buffer(self, _sizehint: int) -> memoryview:
-        """Return the buffer for the bytes that the transport reads next."""
-        return self.receive_buffer.writable_view()
+        """Return the buffer for the bytes that the transport reads next; empty while input has to wait."""
+        return self.turn.read_view(RECEIVE_AREA_BYTES - len(self.unprocessed))
 
     def buffer_updated(self, nbytes: int) -> None:
         """Take in `nbytes` bytes that the transport has read."""
-        self.receive_buffer.commit(nbytes)
-        self.process_input()
+        if self.closed:
+            return
+        view = self.turn.receive_area[:nbytes]
+        now = clock()
+        if self.unprocessed:
+            self.unprocessed += view
+        elif self._must_wait:
+            self.unprocessed += view
+            self.unprocessed_since = self.unprocessed_since or now
+        elif self.turn.has_time(now):
+            self._process(view, now)
+        else:
+            self.unprocessed += view
+            self.turn.defer(self)
+        self._input_processed()
 
     def process_input(self) -> None:
-        """Pass on received bytes unless they have to wait; while the buffer is full, pause reading."""
-        ring = self.receive_buffer
-        while ring.count and not self.parsing_blocked and not self.reading_suspended and not self.closed:
-            view = ring.readable_view()
-            self.bytes_received(view)
-            ring.consume(len(view))
-        must_pause = ring.count == ring.size or self.reading_suspended
-        if must_pause:
+        """Pass on received bytes unless they have to wait; while too many wait, pause reading."""
+        if self.unprocessed and not self._must_wait:
+            waiting = self.unprocessed
+            self.unprocessed = bytearray()
+            self._process(memoryview(waiting), clock())
+        self._input_processed()
+
+    @property
+    def _must_wait(self) -> bool:
+        """Whether received bytes must not be passed on now."""
+        return self.parsing_blocked or self.reading_suspended or self.closed
+
+    def _process(self, view: memoryview, began_at: int) -> None:
+        """Pass on bytes in steps, and defer the rest once the connection's share of the turn is used up."""
+        position = 0
+        size = len(view)
+        while not self._must_wait:
+            step = size - position
+            if step > SMALL_READ_BYTES:
+                step = min(step, self.input_step())
+            end = position + step
+            self.has_more_input = end < size
+            self.bytes_received(view[position:end])
+            position = end
+            if position == size:
+                break
+            if clock() - began_at > CONNECTION_TIME:
+                self.turn.defer(self)
+                break
+        if size > SMALL_READ_BYTES:
+            self.attained_time += clock() - began_at
+        if position < size and not self.closed:
+            self.unprocessed += view[position:]
+
+    def _input_processed(self) -> None:
+        """Pause or resume reading as the rest of the input demands, and account for what is held."""
+        waiting = len(self.unprocessed)
+        is_scarce = self.memory.held > self.memory.high_water
+        max_waiting = SMALL_READ_BYTES if is_scarce else RECEIVE_AREA_BYTES
+        if waiting >= max_waiting or self.reading_suspended or self in self.turn.deferred:
             self.pause_transport()
         elif self.is_transport_paused and self.transport is not None and not self.closed:
             self.is_transport_paused = False
             self.transport.resume_reading()
-        if ring.count or self.unprocessed_since:
+        if waiting or self.unprocessed_since:
             self._update_waiting_time()
+        self.update_account()
+
+    def update_account(self) -> None:
+        """Set what the connection holds on the account, and make room if too much is held in all."""
+        held = 0 if self.transport is None else self.buffered_bytes()
+        if held != self.held_bytes:
+            self.memory.set_held(self, held)
+        if self.memory.held > self.memory.high_water:
+            self.memory.relieve_if_needed()
 
     def _update_waiting_time(self) -> None:
         """Note since when bytes wait in the buffer or, unread, in the kernel."""
-        if self.receive_buffer.count:
+        if self.unprocessed:
             self.unprocessed_since = self.unprocessed_since or clock()
         elif not (self.may_wait_in_kernel and self.unread_in_kernel()):
             self.unprocessed_since = 0
@@ -147,59 +229,93 @@
 
     # Writing
 
-    @property
-    def unsent_bytes(self) -> int:
-        """Bytes that the kernel has not taken yet."""
-        return self.pending_bytes + self.send_buffer.count
-
     @property
     def is_flushed(self) -> bool:
         """Whether the kernel has taken all written bytes."""
-        return not (self.write_paused or self.pending or self.send_buffer.count or self.write_failed)
+        return not (self.pending or self.write_failed)
 
     def write(self, *pieces: bytes) -> None:
-        """Send the pieces in order.
-
-        No piece is copied as a whole, because many peers may be waiting for long bodies at once.
-        """
-        self.pending.extend(pieces)
-        self.pending_bytes += sum(map(len, pieces))
+        """Send the pieces in order; the large ones are not copied as a whole."""
+        size = sum(map(len, pieces))
+        self.unsent_bytes += size
+        if size > WRITE_BYTES:
+            self.pending.extend(piece for piece in pieces if piece)
+        elif size:
+            self._append_small(b"".join(pieces))
         self.flush_pending()
 
+    def _append_small(self, data: bytes) -> None:
+        """Append a small piece; while writing is paused, small pieces are merged into one object."""
+        if not self.write_paused:
+            self.pending.append(data)
+            return
+        last = self.pending[-1] if len(self.pending) > 1 else None  # the transport may read the first one
+        if isinstance(last, bytearray) and len(last) < WRITE_BYTES:
+            last += data
+        else:
+            self.pending.append(bytearray(data))
+
     def flush_pending(self) -> None:
         """Pass pending pieces to the kernel, as far as it takes them."""
-        ring = self.send_buffer
         while not self.write_paused and not self.closed and self.transport is not None:
-            while self.pending and ring.count < ring.size:
-                copied_bytes = ring.write_from(self.pending[0], self.pending_offset)
-                self.pending_offset += copied_bytes
-                self.pending_bytes -= copied_bytes
-                if self.pending_offset == len(self.pending[0]):
-                    self.pending.popleft()
-                    self.pending_offset = 0
-            if not ring.count:
+            if not self.pending:
                 self.output_flushed()
+                if self.held_bytes:
+                    self.update_output_account()
                 return
-            view = ring.readable_view()
-            self.transport.write(view)
+            data = self._next_output()
+            self.transport.write(data)
             if self.transport.is_closing():
                 self.write_failed = True  # the kernel refused the write
                 return
             if self.write_paused:
-                self.bytes_in_transport = len(view)
+                self.bytes_in_transport = len(data)
+                self.update_output_account()
                 return
-            ring.consume(len(view))
+            self._output_written(len(data))
+
+    def _next_output(self) -> bytes | memoryview:
+        """Return the next bytes to write, small pieces joined."""
+        first = memoryview(self.pending[0])[self.pending_offset : self.pending_offset + WRITE_BYTES]
+        if len(first) == WRITE_BYTES or len(self.pending) == 1:
+            return first
+        parts: list[bytes | bytearray | memoryview] = [first]
+        space = WRITE_BYTES - len(first)
+        for piece in self.pending[1:]:
+            parts.append(memoryview(piece)[:space])
+            space -= len(parts[-1])
+            if not space:
+                break
+        return b"".join(parts)
+
+    def _output_written(self, count: int) -> None:
+        """Remove bytes that the kernel has taken from the pending pieces."""
+        self.unsent_bytes -= count
+        self.pending_offset += count
+        while self.pending and self.pending_offset >= len(self.pending[0]):
+            self.pending_offset -= len(self.pending.pop(0))
+
+    def update_output_account(self) -> None:
+        """Set what the connection holds on the account after a write that the kernel has not taken.
+
+        Other connections give up nothing at once, because this may be called while one processes its input.
+        """
+        held = self.buffered_bytes()
+        if held != self.held_bytes:
+            self.memory.set_held(self, held)
 
     def pause_writing(self) -> None:
         """Note that the transport could not write all bytes at once."""
         self.write_paused = True
+        self.write_paused_at = clock()
 
     def resume_writing(self) -> None:
         """Continue writing, as the transport has written all its bytes."""
         self.write_paused = False
-        self.send_buffer.consume(self.bytes_in_transport)
+        self._output_written(self.bytes_in_transport)
         self.bytes_in_transport = 0
         self.flush_pending()
+        self.update_account()
 
     # Closing
 
@@ -217,7 +333,7 @@
         Returns:
             None: nothing; False: only the end of the peer's stream; True: bytes.
         """
-        return True if self.receive_buffer.count else self.unread_in_kernel()
+        return True if self.unprocessed else self.unread_in_kernel()
 
     def unread_in_kernel(self) -> bool | None:
         """Return whether the kernel has anything left to read; for the values see `unread_input`."""
@@ -233,18 +349,19 @@
 
         A read that filled the buffer has left more in the kernel, as a rule; that is not looked up.
         """
-        ring = self.receive_buffer
-        return ring.count == len(view) < ring.size and not self.unread_in_kernel()
+        has_filled_buffer = len(view) == RECEIVE_AREA_BYTES
+        return not (self.has_more_input or has_filled_buffer or self.unread_in_kernel())
 
     def peer_has_closed(self) -> bool:
         """Return whether the peer has closed the connection, even if bytes before that are unread."""
         return self.sock is not None and host_info.peer_has_closed(self.sock)
 
-    def abort(self) -> None:
+    def abort(self, reason: str = "") -> None:
         """Close the connection at once; the peer is notified before this returns."""
         if self.closed:
             return
         self.closed = True
+        self.close_reason = reason
         self.descriptors.mark_busy(self.handle)
         if self.sock is not None and self.transport is not None:
             with contextlib.suppress(OSError):  # the socket may have been closed already
@@ -252,12 +369,12 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def reset(self) -> None:
+    def reset(self, reason: str = "") -> None:
         """Close the connection by a reset, so that the peer does not take the sent data for complete."""
         if self.sock is not None:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_WITH_RESET)
             self.sock = None  # `abort` would shut it down, which is an orderly close
-        self.abort()
+        self.abort(reason)
 
     def close(self) -> None:
         """Close the connection in an orderly way; all written bytes must have been flushed."""
@@ -268,9 +385,11 @@
                 self.transport.close()
 
     def connection_lost(self, _error: Exception | None) -> None:
-        """Release the descriptor after the transport has closed."""
+        """Release the descriptor and what is held after the transport has closed."""
         self.closed = True
         self.release()
+        self.turn.forget(self)
+        self.unprocessed = bytearray()
         if self.sock is not None:
             # Shut down first, so that the peer is notified before `connection_closed` starts other work.
             with contextlib.suppress(OSError):
@@ -278,6 +397,7 @@
         self.connection_closed()
         self.transport = None
         self.sock = None
+        self.update_account()
 
     def release(self) -> None:
         """Return the descriptor to the budget."""
--- a/dahliabend/transport/descriptor_budget.py
+++ b/dahliabend/transport/descriptor_budget.py
@@ -3,12 +3,16 @@
 from itertools import chain
 from typing import Protocol
 
-from dahliabend.transport.handles import HandleTable
+from dahliabend.transport.handles import NO_HANDLE, HandleTable
+from dahliabend.transport.memory_budget import CONNECTION_BYTES, MemoryBudget
+from dahliabend.transport.turn_budget import TurnBudget
 
 ADMIN_DESCRIPTORS = 16  # part of the limit, reserved for operators and never used for clients
 PROCESS_DESCRIPTORS = 16  # not connections: standard streams, listener, event loop, files read at the start
 RESERVE_FRACTION = 1 / 16  # of the limit, for clients that can only be told that there is no capacity
 MIN_RESERVE = 8
+MIN_CONNECTIONS = 64  # however little memory there is
+EVICTED = "evicted"  # reason for the log
 
 
 class ManagedConnection(Protocol):
@@ -17,8 +21,8 @@
     def can_evict(self) -> bool:
         """Return whether closing the connection now loses no request."""
 
-    def abort(self) -> None:
-        """Close the connection at once."""
+    def abort(self, reason: str = "") -> None:
+        """Close the connection at once; `reason` is for the log."""
 
 
 class DescriptorBudget:
@@ -44,17 +48,26 @@
         slow_after: By handle, the clock time (us) from which a connection that is receiving a request counts
             as slow.
         evicting: Handles of connections that were evicted and are not closed yet.
+        share: Fraction of the descriptors that this process may use.
         reserve: Descriptors kept for clients that can only be rejected.
         limit: Largest number of connections of this process.
         limit_before_reserve: Number of connections from which on the reserve is used.
+        memory: The account of what the process holds for its peers, with these connections.
+        turn: Divides the event loop's time among the connections.
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(
+        self, limit: int, memory: MemoryBudget | None = None, turn: TurnBudget | None = None
+    ) -> None:
         """Create a budget without connections.
 
         Args:
             limit: Descriptors that this process may have open, `PROCESS_DESCRIPTORS` included.
+            memory: The account of the memory of the process; None: unlimited.
+            turn: Divides the event loop's time; None: it is not divided.
         """
+        self.memory = memory or MemoryBudget()
+        self.turn = turn or TurnBudget()
         self.connections: HandleTable[ManagedConnection] = HandleTable(limit - PROCESS_DESCRIPTORS)
         self.idle: dict[int, int] = {}
         self.slow_after: dict[int, int] = {}
@@ -63,11 +76,17 @@
         self.set_share(1)
 
     def set_share(self, fraction: float) -> None:
-        """Limit this process to a fraction of the descriptors, as another process uses the others.
+        """Limit this process to a fraction of the descriptors, as another process uses the others."""
+        self.share = fraction
+        self.apply_limit()
+
+    def apply_limit(self) -> None:
+        """Derive the largest number of connections from the descriptors and the memory that there are.
 
         Idle connections beyond the limit are closed.
         """
-        self.limit = round(self.connections.capacity * fraction)
+        descriptors = round(self.connections.capacity * self.share)
+        self.limit = min(descriptors, max(MIN_CONNECTIONS, self.memory.max_connections))
         self.limit_before_reserve = max(1, self.limit - self.reserve)
         for handle in tuple(self.idle):
             if not self.reserve_in_use:
@@ -83,7 +102,7 @@
         if connection is None or not connection.can_evict():
             return False
         self.evicting.add(handle)
-        connection.abort()
+        connection.abort(EVICTED)
         return True
 
     def is_full_after_eviction(self, now: int = 0) -> bool:
@@ -111,7 +130,10 @@
 
     def register(self, connection: ManagedConnection) -> int:
         """Take a descriptor for a connection; return the connection's handle."""
-        return self.connections.add(connection)
+        handle = self.connections.add(connection)
+        if handle != NO_HANDLE:
+            self.memory.held += CONNECTION_BYTES
+        return handle
 
     def mark_idle(self, handle: int, now: int) -> None:
         """Record that the connection is between requests from clock time `now` on."""
@@ -144,4 +166,5 @@
         """Return a connection's descriptor to the budget."""
         self.mark_busy(handle)
         self.evicting.discard(handle)
-        self.connections.remove(handle)
+        if self.connections.remove(handle) is not None:
+            self.memory.held -= CONNECTION_BYTES
--- a/dahliabend/transport/disconnect_detection.py
+++ b/dahliabend/transport/disconnect_detection.py
@@ -6,6 +6,8 @@
 
 DISCONNECT_CHECK_INTERVAL = 50_000  # microseconds; a disconnect has to be noticed within 0.1 s
 
+CLIENT_LEFT = "client left with input unread"  # reason for the log
+
 
 class DisconnectDetectingConnection(Connection):
     """A connection that is checked at intervals while its reading is paused.
@@ -52,7 +54,7 @@
         if not self.is_transport_paused or self.closed:
             return
         if self.peer_has_closed():
-            self.abort()
+            self.abort(CLIENT_LEFT)
         else:
             self.transport_paused()
 
--- a/dahliabend/transport/host_info.py
+++ b/dahliabend/transport/host_info.py
@@ -17,6 +17,9 @@
 process_id = os.getpid
 runtime_directory = RuntimeDirectory  # called with a path
 
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+_RESIDENT_FIELD = 1  # of /proc/self/statm, in pages
+
 
 def stream_socket() -> socket.socket:
     """Return a new TCP socket."""
@@ -44,6 +47,15 @@
     return bool(poll.poll(0))
 
 
+def resident_bytes() -> int:
+    """Return the resident memory of this process; 0 if the system does not tell."""
+    try:
+        fields = Path("/proc/self/statm").read_bytes().split()
+    except OSError:
+        return 0
+    return int(fields[_RESIDENT_FIELD]) * _PAGE_BYTES
+
+
 def read_file(path: str) -> bytes:
     """Return the content of a file.
 
--- /dev/null
+++ b/dahliabend/transport/memory_budget.py
@@ -0,0 +1,130 @@
+"""The account of the memory that peers make the process hold, over all connections and requests."""
+
+from collections.abc import Iterable
+from typing import Protocol
+
+from dahliabend.transport.timers import clock
+
+# What an open connection holds with nothing buffered: its objects, its parser and its transport.
+CONNECTION_BYTES = 10 * 1024
+CONNECTIONS_FRACTION = 1 / 2  # of the capacity, for connections with nothing buffered
+HIGH_WATER = 3 / 4  # of the capacity: above it, holders have to give up what they hold
+LOW_WATER = 5 / 8  # of the capacity, which is then aimed at
+FULL = 7 / 8  # of the capacity: above it, no request is admitted
+MAX_ALLOWANCE = 64 * 1024  # bytes that one direction of a connection may buffer
+MIN_ALLOWANCE = 4 * 1024
+ALLOWANCE_DIVISOR = 16  # one direction of a connection may buffer this part of the free bytes
+RELIEF_PAUSE = 5_000  # microseconds without another relief after one that freed nothing
+UNLIMITED = 1 << 50  # bytes
+
+
+class MemoryHolder(Protocol):
+    """A connection that holds bytes of its peer, or for it.
+
+    Attributes:
+        held_bytes: The bytes that are on the account for it; only `MemoryBudget` changes it.
+    """
+
+    held_bytes: int
+
+    def relief_rank(self, now: int) -> int | None:
+        """Return in which order it has to give up its bytes, the smallest first; None: it can't."""
+
+    def relieve(self) -> None:
+        """Give up what it holds, with an answer where one is owed."""
+
+
+class MemoryBudget:
+    """One account of the bytes that peers make the process hold.
+
+    Each connection sets what it holds; requests in flight are added and taken off. Above the high-water mark
+    those connections give up what they hold whose peers are slowest to complete a request or to read a
+    response. What one connection may buffer shrinks with what is free, so that many together can't use up
+    the capacity.
+
+    >>> budget = MemoryBudget(800_000)
+    >>> budget.allowance(), budget.is_full()
+    (50000, False)
+    >>> budget.held = 720_000; budget.allowance(), budget.is_full()
+    (5000, True)
+
+    Attributes:
+        capacity: Bytes that may be held.
+        held: Bytes on the account.
+        peak: Largest number of bytes seen on the account at a relief or a report.
+        relieved: How many times a holder has given up what it held.
+        holders: The connections that hold more than themselves.
+    """
+
+    def __init__(self, capacity: int = UNLIMITED) -> None:
+        self.held = 0
+        self.peak = 0
+        self.relieved = 0
+        self.holders: dict[MemoryHolder, None] = {}
+        self._next_relief = 0
+        self.set_capacity(capacity)
+
+    def set_capacity(self, capacity: int) -> None:
+        """Set the number of bytes that may be held."""
+        self.capacity = capacity
+        self.high_water = int(capacity * HIGH_WATER)
+        self.low_water = int(capacity * LOW_WATER)
+        self.full = int(capacity * FULL)
+
+    @property
+    def max_connections(self) -> int:
+        """Number of connections that the capacity allows beside what they buffer."""
+        return int(self.capacity * CONNECTIONS_FRACTION) // CONNECTION_BYTES
+
+    def is_full(self) -> bool:
+        """Return whether no further request may be admitted."""
+        return self.held > self.full
+
+    def allowance(self) -> int:
+        """Return how many bytes one direction of a connection may buffer now."""
+        free = (self.capacity - self.held) // ALLOWANCE_DIVISOR
+        return max(MIN_ALLOWANCE, min(MAX_ALLOWANCE, free))
+
+    def set_held(self, holder: MemoryHolder, count: int) -> None:
+        """Set the number of bytes that a connection holds."""
+        self.held += count - holder.held_bytes
+        holder.held_bytes = count
+        if count:
+            self.holders[holder] = None
+        else:
+            self.holders.pop(holder, None)
+
+    def relieve_if_needed(self) -> None:
+        """Above the high-water mark, make holders give up what they hold down to the low-water mark.
+
+        It has to be called from the event loop only, never while a connection processes its input.
+        """
+        if self.held > self.high_water:
+            now = clock()
+            if now >= self._next_relief and not self.relieve(self.low_water, now):
+                self._next_relief = now + RELIEF_PAUSE
+
+    def relieve(self, target: int, now: int) -> bool:
+        """Make holders give up what they hold until at most `target` bytes are held.
+
+        Returns:
+            Whether any holder has given up anything.
+        """
+        self.peak = max(self.peak, self.held)
+        relieved_before = self.relieved
+        for holder in _by_rank(self.holders, now):
+            if self.held <= target:
+                break
+            holder.relieve()
+            self.relieved += 1
+        return self.relieved > relieved_before
+
+
+def _by_rank(holders: Iterable[MemoryHolder], now: int) -> list[MemoryHolder]:
+    """Return the holders that can give up anything: by rank, then the largest first."""
+    ranked: list[tuple[int, int, int, MemoryHolder]] = []
+    for holder in holders:
+        rank = holder.relief_rank(now)
+        if rank is not None:
+            ranked.append((rank, -holder.held_bytes, len(ranked), holder))
+    return [entry[-1] for entry in sorted(ranked)]
--- /dev/null
+++ b/dahliabend/transport/turn_budget.py
@@ -0,0 +1,111 @@
+"""The division of each turn of the event loop among the connections that have input."""
+
+import asyncio
+from typing import Protocol
+
+from dahliabend.transport.timers import clock
+
+RECEIVE_AREA_BYTES = 8192  # largest single read
+SMALL_READ_BYTES = 1024  # read at once while a turn's time is used up
+# Microseconds.
+TURN_TIME = 5_000  # of processing input in one turn, for all connections together
+CONNECTION_TIME = 1_000  # of that, for one connection
+
+
+class InputProcessor(Protocol):
+    """A connection that has input to process.
+
+    Attributes:
+        attained_time: Processing time (us) that it has had since it last had no input left.
+    """
+
+    attained_time: int
+
+    def process_input(self) -> None:
+        """Process input until none is left or the connection's share of the turn is used up."""
+
+
+class TurnBudget:
+    """Divides the time of a turn: what can't be processed in it waits for the next turns.
+
+    Of the connections that wait, the one that has had the least processing time goes first. So a small
+    request is served ahead of large or endless ones, however many connections send these.
+
+    One area receives the bytes of every read: they are processed, or copied, before the next one.
+
+    Attributes:
+        receive_area: The buffer of all reads.
+        is_over: Whether the time of this turn is used up.
+        longest_turn: Longest time (us) between the beginnings of two turns with input, since `take_longest`.
+        deferred: The connections that wait, in no particular order.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop | None = None) -> None:
+        """Create a budget.
+
+        Args:
+            loop: The event loop; None: turns have no end, as in tests without a loop.
+        """
+        self.loop = loop
+        self.receive_area = memoryview(bytearray(RECEIVE_AREA_BYTES))
+        self.is_over = False
+        self.longest_turn = 0
+        self.deferred: dict[InputProcessor, None] = {}
+        self._began_at = 0
+        self._is_running = False  # whether the end of the turn is scheduled
+
+    def read_view(self, limit: int) -> memoryview:
+        """Return where the next read goes, `limit` bytes at most."""
+        return self.receive_area[: min(limit, SMALL_READ_BYTES) if self.is_over else limit]
+
+    def has_time(self, now: int) -> bool:
+        """Return whether input may be processed at `now` (us, clock time); begin a turn if none has begun."""
+        if not self._is_running:
+            self._begin(now)
+        elif now >= self._began_at + TURN_TIME:
+            self.is_over = True
+        return not self.is_over
+
+    def _begin(self, now: int) -> None:
+        self._began_at = now
+        self.is_over = False
+        if self.loop is not None:
+            self._is_running = True
+            self.loop.call_soon(self._next_turn)
+
+    def defer(self, connection: InputProcessor) -> None:
+        """Let a connection process its input in a later turn."""
+        self.deferred[connection] = None
+        if not self._is_running:
+            self._begin(clock())
+
+    def forget(self, connection: InputProcessor) -> None:
+        """Remove a connection that has been closed."""
+        self.deferred.pop(connection, None)
+
+    def _next_turn(self) -> None:
+        """Begin the next turn with the connections that wait."""
+        now = clock()
+        self.longest_turn = max(self.longest_turn, now - self._began_at)
+        self._is_running = False
+        if not self.deferred:
+            self.is_over = False
+            return
+        self._begin(now)
+        for connection in sorted(self.deferred, key=_attained_time):
+            if connection not in self.deferred:  # another one's input has closed it
+                continue
+            del self.deferred[connection]
+            connection.process_input()
+            if not self.has_time(clock()):
+                return
+
+    def take_longest(self) -> int:
+        """Return the longest turn (us) since the last call."""
+        longest = self.longest_turn
+        self.longest_turn = 0
+        return longest
+
+
+def _attained_time(connection: InputProcessor) -> int:
+    return connection.attained_time
--- a/tests/fake_transport.py
+++ b/tests/fake_transport.py
@@ -5,8 +5,9 @@
 from dahliabend.http.dispatch import IncomingRequest
 
 DISPATCHER = SimpleNamespace(
-    closing=lambda: False, methods=(b"GET", b"POST"), classify=lambda *_: None, ready=lambda: True
-)
+    closing=lambda: False, methods=(b"GET", b"POST"), classify=lambda *_: None, ready=lambda: True,
+    connection_closed=lambda *_: None, request_shed=lambda *_: None,
+)  # fmt: skip
 
 
 def incoming_request(client=None, **fields):
--- a/tests/http/test_client_connection.py
+++ b/tests/http/test_client_connection.py
@@ -17,10 +17,11 @@
 from dahliabend.http.serving_state import ServingState
 from dahliabend.proxy.request import Request
 from dahliabend.proxy.router import Router
-from dahliabend.transport.connection import BUFFER_SIZE, Connection
+from dahliabend.transport.connection import Connection
 from dahliabend.transport.descriptor_budget import DescriptorBudget
 from dahliabend.transport.handles import HandleTable
 from dahliabend.transport.timers import clock
+from dahliabend.transport.turn_budget import RECEIVE_AREA_BYTES
 
 
 def test_a_client_that_pipelines_without_reading_is_not_read_from_any_further():
@@ -28,10 +29,10 @@
     FakeTransport(client, 0)
     raw = b"GET /-/ready HTTP/1.1\r\n\r\n"
     feed(client, raw)
-    feed(client, raw * (BUFFER_SIZE // len(raw)))
+    feed(client, raw * (RECEIVE_AREA_BYTES // len(raw)))
     feed(client, raw * 9)
     assert client.parsing_blocked
-    assert len(client.queue) <= BUFFER_SIZE // len(raw)
+    assert len(client.queue) <= RECEIVE_AREA_BYTES // len(raw)
 
 
 def test_silent_and_trickling_clients_time_out_counted_from_connecting():
--- a/tests/http/test_upstream_connection.py
+++ b/tests/http/test_upstream_connection.py
@@ -7,7 +7,7 @@
 from fake_transport import feed
 
 from dahliabend.model import Outcome
-from dahliabend.transport.connection import BUFFER_SIZE
+from dahliabend.transport.connection import WRITE_BYTES
 from dahliabend.transport.timers import clock
 
 
@@ -15,8 +15,8 @@
     for length, accepted_bytes, outcome in (
         (9, 99, Outcome.RESET),
         (9, 8, Outcome.UNREACHABLE),
-        (3 * BUFFER_SIZE, 2 * BUFFER_SIZE, Outcome.UNREACHABLE),
-        (3 * BUFFER_SIZE, 9 * BUFFER_SIZE, Outcome.RESET),
+        (3 * WRITE_BYTES, 2 * WRITE_BYTES, Outcome.UNREACHABLE),
+        (3 * WRITE_BYTES, 9 * WRITE_BYTES, Outcome.RESET),
     ):
         request, connection = send_request(accepted_bytes, length)
         connection.connection_lost(None)
--- a/tests/proxy/test_base_dispatcher.py
+++ b/tests/proxy/test_base_dispatcher.py
@@ -6,7 +6,8 @@
 
 
 def base_dispatcher():
-    return BaseDispatcher(SimpleNamespace(open_requests=0, count_response=lambda name, status: None))
+    metrics = SimpleNamespace(open_requests=0, count_response=lambda name, status: None)
+    return BaseDispatcher(metrics, lambda *_, **__: None)
 
 
 def test_a_dispatcher_is_closing_while_evacuated_and_from_shutdown_on():
