--- a/dahliabend/proxy/request.py
+++ b/dahliabend/proxy/request.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple, Protocol
 
 from dahliabend.http.dispatch import IncomingRequest
-from dahliabend.model import Outcome
+from dahliabend.model import DeduplicationScope, Idempotency, Outcome
 from dahliabend.policy.records import RequestState
 from dahliabend.proxy.policy_port import PolicyPort
 from dahliabend.transport.handles import NO_HANDLE
@@ -93,6 +93,14 @@
         self.answered = False
         self.on_rejected: Callable[[int], None] | None = None
 
+    @property
+    def runs_once(self) -> bool:
+        """Whether the request must not run again at any endpoint once it may have run."""
+        request_class = self.policy.request_classes[self.class_index]
+        if request_class.effect is Idempotency.DEDUPLICATED:
+            return request_class.deduplication_scope is not DeduplicationScope.ALL
+        return request_class.effect is Idempotency.NON_IDEMPOTENT
+
     def body_consumed(self) -> None:
         """Report to the policy that a part of the streamed body is gone, so that no attempt can resend it."""
         self.state.body_consumed()
--- a/dahliabend/proxy/router.py
+++ b/dahliabend/proxy/router.py
@@ -13,6 +13,7 @@
 from dahliabend.proxy.attempt import NO_DEADLINE, Attempt
 from dahliabend.proxy.base_dispatcher import BaseDispatcher, RequestMetrics
 from dahliabend.proxy.endpoint_table import EndpointTable
+from dahliabend.proxy.executed_requests import ExecutedRequests
 from dahliabend.proxy.policy_port import PolicyPort
 from dahliabend.proxy.pool_state import PoolState
 from dahliabend.proxy.request import AttemptRecord, Request
@@ -35,6 +36,7 @@
         requests: Open requests by handle.
         memory: The account of what the process holds for its peers.
         trace_ids: Trace ids of the open requests.
+        executed: The requests that may have run and may not run again, also after their end.
         route_names: Route names by class index, where every route has a class of its own; otherwise empty.
     """
 
@@ -55,6 +57,7 @@
         self.request_log = RequestLog(log)
         self.requests: HandleTable[Request] = HandleTable(settings.max_in_flight)
         self.trace_ids: set[bytes] = set()
+        self.executed = ExecutedRequests()
         self.route_names: list[str] = []
         self._install_policy(settings)
 
@@ -150,16 +153,21 @@
         """
         if incoming.trace_id in self.trace_ids:
             # An upstream would take it for a repeat of the open request that has the same id.
-            incoming.client.send_error(409)
+            self._refuse_repeated_id(incoming)
             return NO_HANDLE
         if self.memory.is_full():
             self.log("request.refused_for_memory", trace_id=incoming.trace_id.decode("latin-1"))
             incoming.client.send_response(503, b"", b"out of memory\n")
             return NO_HANDLE
         request = self._create_request(incoming, class_index)
+        if request.runs_once and not self.executed.try_add(incoming.trace_id):
+            self._refuse_repeated_id(incoming)
+            return NO_HANDLE
         request.handle = self.requests.add(request)
         if request.handle == NO_HANDLE:
             self.log("request_table.exhausted", requests=len(self.requests))
+            if request.runs_once:
+                self.executed.discard(incoming.trace_id)
             incoming.client.send_response(503, b"", b"too many transactions\n")
             return NO_HANDLE
         self.memory.held += request.held_bytes
@@ -171,6 +179,11 @@
         self.forget_if_finished(request)
         return NO_HANDLE
 
+    def _refuse_repeated_id(self, incoming: IncomingRequest) -> None:
+        """Answer a request whose trace id another one has that is open or may have run."""
+        self.log("request.repeated_id", trace_id=incoming.trace_id.decode("latin-1"))
+        incoming.client.send_error(409)
+
     def _create_request(self, incoming: IncomingRequest, class_index: int) -> Request:
         timeout = min(incoming.client_timeout, self.class_deadlines[class_index])
         # On a busy machine the request has been waiting in the socket buffer for a while, and so will the
@@ -328,6 +341,8 @@
             self.policies.remove(request.policy)
         if self.requests.remove(request.handle) is not None:
             self.memory.held -= request.held_bytes
+            if request.runs_once and request.state.first_possibly_executed() is None:
+                self.executed.discard(request.incoming.trace_id)
         self.trace_ids.discard(request.incoming.trace_id)
         # Breaks the reference cycle between request and attempts: otherwise the request and its body would
         # stay in memory until the garbage collector runs.
--- a/dahliabend/server/hot_restart.py
+++ b/dahliabend/server/hot_restart.py
@@ -5,18 +5,20 @@
 that can't be read is skipped.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from hashlib import blake2b
 from typing import Any, NamedTuple
 
 import orjson
 
+from dahliabend.proxy.executed_requests import TABLE_BYTES
 from dahliabend.server.log import EventLog
 from dahliabend.transport import host_info
 from dahliabend.transport.runtime_directory import LockedFile
 
 VERSION = 1  # of the state's format; state of another version is ignored
 EXCLUSIONS_DIRECTORY = "excluded"
+EXECUTED_PREFIX = "executed-"  # of the files with the requests that may have run
 DIGEST_BYTES = 16  # length of the digest of an upstream's name that names its file
 
 
@@ -129,6 +131,33 @@
         if self._alive_file is not None:
             self._alive_file.write(b"%8d" % attempts)
 
+    # Requests that may have run
+
+    def create_executed_table(self) -> memoryview:
+        """Return the memory of this process's table of executed requests, which the others can read.
+
+        Raises:
+            OSError: The file can't be created.
+        """
+        return self.directory.create_shared(f"{EXECUTED_PREFIX}{_file_suffix(self.process_key)}", TABLE_BYTES)
+
+    def executed_tables(self, known: Collection[str]) -> dict[str, memoryview]:
+        """Return the tables of the other processes that are not known yet, by the suffix of their files.
+
+        The files of processes that have ended are removed; their content stays in memory.
+        """
+        live = {_file_suffix(key) for key in self.live_processes()} | {_file_suffix(self.process_key)}
+        tables = {}
+        for name in self.directory.glob(f"{EXECUTED_PREFIX}*"):
+            suffix = name.removeprefix(EXECUTED_PREFIX)
+            if suffix not in known and suffix != _file_suffix(self.process_key):
+                block = self.directory.open_shared(name, TABLE_BYTES)
+                if block is not None:
+                    tables[suffix] = block
+            if suffix not in live:
+                self.directory.remove(name)
+        return tables
+
     # Exclusions
 
     def exclusions(self) -> set[str]:
--- a/dahliabend/server/process_takeover.py
+++ b/dahliabend/server/process_takeover.py
@@ -43,6 +43,7 @@
         self.log = log
         self._predecessors: list[ProcessKey] = []
         self._descriptors_shared = False
+        self._has_read_executed = False
 
     async def take_over(
         self, capture_state: Callable[[], dict[str, Any]], restore_state: Callable[[dict[str, Any]], None]
@@ -59,6 +60,7 @@
         """
         try:
             self.directory.open()
+            self.router.executed.share(self.directory.create_executed_table())
         except OSError as error:
             self.log("hot_restart.unavailable", reason=str(error))
             return False
@@ -103,6 +105,7 @@
         own_key = self.directory.process_key
         self._predecessors = [key for key in live if key < own_key]
         self._share_descriptors(bool(live))
+        self._share_executed_requests(set(live))
         if live:
             self.directory.publish_in_flight(self.router.attempts_in_flight())
         self.router.balancer.concurrency.in_flight_in_other_processes = sum(live.values())
@@ -115,6 +118,17 @@
         self._descriptors_shared = shared
         self.descriptors.set_share(SHARE_BESIDE_ANOTHER if shared else FULL_SHARE)
 
+    def _share_executed_requests(self, live: set[ProcessKey]) -> None:
+        """Look at the requests that other processes may have run, for some time after their end as well."""
+        executed = self.router.executed
+        live_names = {f"{key.start_order}-{key.process_id}" for key in live}
+        if live or executed.foreign:
+            executed.update_foreign(live_names, clock())
+        if live_names - executed.foreign.keys() or not self._has_read_executed:
+            self._has_read_executed = True
+            for name, block in self.directory.executed_tables(executed.foreign).items():
+                executed.add_foreign(name, block, is_alive=name in live_names)
+
     def _apply_exclusions(self) -> None:
         excluded = self.directory.exclusions()
         for name in sorted(excluded ^ self.router.excluded):
--- a/dahliabend/simulation/simulated_host.py
+++ b/dahliabend/simulation/simulated_host.py
@@ -47,7 +47,7 @@
     A lock is released when its process terminates.
     """
 
-    def __init__(self, scheduler: Scheduler, files: dict[str, bytes | MemoryLock]) -> None:
+    def __init__(self, scheduler: Scheduler, files: dict[str, bytes | memoryview | MemoryLock]) -> None:
         self.scheduler = scheduler
         self.files = files
 
@@ -82,6 +82,17 @@
         self.files[name] = lock
         return lock
 
+    def create_shared(self, name: str, size: int) -> memoryview:
+        """Create a file of zeros that other processes can read in memory while it changes."""
+        block = memoryview(bytearray(size))
+        self.files[name] = block
+        return block
+
+    def open_shared(self, name: str, size: int) -> memoryview | None:
+        """Return the memory of a file that another process has created; None if there is no such file."""
+        block = self.files.get(name)
+        return block if isinstance(block, memoryview) and len(block) == size else None
+
     def read_locked(self, name: str) -> bytes | None:
         """Return the content of a locked file; if its lock is free, remove it and return None."""
         lock = self.files.get(name)
@@ -98,7 +109,7 @@
         self.scheduler = scheduler
         self.network = network
         self.files: dict[str, bytes] = {}
-        self.directories: dict[str, dict[str, bytes | MemoryLock]] = {}
+        self.directories: dict[str, dict[str, bytes | memoryview | MemoryLock]] = {}
         self.inherited: dict[str, ListenQueue] = {}  # by host address
 
     def read_file(self, path: str) -> bytes:
--- a/dahliabend/transport/runtime_directory.py
+++ b/dahliabend/transport/runtime_directory.py
@@ -2,12 +2,19 @@
 
 import contextlib
 import fcntl
+import mmap
 import os
 from pathlib import Path
 
 LOCKED_FILE_BYTES = 8  # that other processes read of a locked file
 
 
+def _map_file(path: Path, access: int) -> memoryview:
+    """Return the memory that a file is mapped to; it outlives the file's name."""
+    with path.open("r+b" if access == mmap.ACCESS_WRITE else "rb") as file:
+        return memoryview(mmap.mmap(file.fileno(), 0, access=access))
+
+
 class LockedFile:
     """A file that this process keeps locked until it exits, with a few bytes for other processes to read."""
 
@@ -72,6 +79,22 @@
         temporary_path.rename(self.path / name)
         return LockedFile(descriptor)
 
+    def create_shared(self, name: str, size: int) -> memoryview:
+        """Create a file of zeros that other processes can read in memory while it changes."""
+        temporary_path = self.path / self.temporary_name
+        temporary_path.write_bytes(bytes(size))
+        block = _map_file(temporary_path, mmap.ACCESS_WRITE)
+        temporary_path.rename(self.path / name)
+        return block
+
+    def open_shared(self, name: str, size: int) -> memoryview | None:
+        """Return the memory of a file that another process has created; None if there is no such file."""
+        try:
+            block = _map_file(self.path / name, mmap.ACCESS_READ)
+        except (OSError, ValueError):
+            return None
+        return block if len(block) == size else None
+
     def read_locked(self, name: str) -> bytes | None:
         """Return what the process that keeps a file locked has written to it; None if no process does.
 
