--- a/dahliabend/http/client_connection.py
+++ b/dahliabend/http/client_connection.py
@@ -11,20 +11,21 @@
 from dahliabend.http.responses import CONNECTION_CLOSE, CONTINUE, Framing, StreamedResponse, response_head
 from dahliabend.http.serving_state import FLUSHING, LINGERING, SERVING, WAITING, ServingState
 from dahliabend.http.streaming import BodySource, StreamingBody
+from dahliabend.transport.connection import MIN_STEP
 from dahliabend.transport.descriptor_budget import DescriptorBudget
 from dahliabend.transport.disconnect_detection import CLIENT_LEFT, DisconnectDetectingConnection
 from dahliabend.transport.handles import NO_HANDLE
 from dahliabend.transport.timers import MICROSECONDS_PER_MILLISECOND, Timer, TimerQueue, clock
-from dahliabend.transport.turn_budget import RECEIVE_AREA_BYTES, SMALL_READ_BYTES
+from dahliabend.transport.turn_budget import RECEIVE_AREA_BYTES
 
 # Microseconds.
 REQUEST_TIMEOUT = 2_500_000  # for receiving a request, the first one counted from accepting; not over 3 s
 SLOW_REQUEST_AGE = REQUEST_TIMEOUT // 8  # from this age on, an incomplete request can be evicted
 STREAM_TIMEOUT_FACTOR = 4  # write timeouts in which the rest of a streamed response has to be sent
 LINGER_DIVISOR = 4  # of the write timeout: time for the client to close after the final response
-RELIEF_GRACE = 100_000  # until a request that has begun, or a response that waits, counts as slow
+RELIEF_GRACE = 100_000  # without a byte, until an incomplete request or an unread response counts as slow
 
-HEAD_STEP = SMALL_READ_BYTES  # bytes of a head parsed at once; a head can consist of very many fields
+HEAD_STEP = MIN_STEP  # bytes of a head parsed at once; a head can consist of very many fields
 QUEUED_REQUEST_BYTES = 4096  # that a parsed request holds beside its headers and its body
 SLOW, RECENT = range(2)  # ranks of the connections that have to give up what they hold
 # Reasons for the log.
@@ -385,7 +386,7 @@
         if self.write_paused:
             since = self.write_paused_at
         elif self._is_receiving_request:
-            since = self.parser.begun_at
+            since = now if self.is_transport_paused else self.last_input_at
         else:
             return None
         return SLOW if now - since > RELIEF_GRACE else RECENT
@@ -401,6 +402,7 @@
         """Reject the request that is being received, or end the connection of a slow reader."""
         if self.write_paused:
             self.reset(OUT_OF_MEMORY)
+            self.drop_output()
             return
         self.dispatcher.request_shed(self.parser.target, self.held_bytes)
         self.parser.fail(503)
--- a/dahliabend/http/request_parser.py
+++ b/dahliabend/http/request_parser.py
@@ -109,6 +109,8 @@
             self._http.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.fail(400)
+        if self.section_bytes and self.head_complete_at:
+            self.last_body_byte_at = clock()
         if self.streaming_body is not None:
             self._feed_streaming_body(self.streaming_body)
         if self.unparsed_bytes > wire.MAX_HEAD_BYTES:
@@ -213,7 +215,6 @@
     def on_body(self, data: bytes) -> None:
         """Buffer a part of the body, or pass it to the streaming body."""
         self.unparsed_bytes = 0
-        self.last_body_byte_at = clock()
         self.section_bytes += len(data)
         if self.section_bytes > wire.MAX_BODY_BYTES:
             self.fail(413)
--- a/dahliabend/process_tests/platform_balancer.py
+++ b/dahliabend/process_tests/platform_balancer.py
@@ -105,7 +105,7 @@
         exceeded_memory: Whether a process has been killed because its memory exceeded the limit.
         events: Number of log lines by event, over all processes.
         errors: Log lines that report a fault of the program.
-        last_metrics: The last log line with metrics.
+        last_metrics: The last log line on memory and event loop.
     """
 
     def __init__(
@@ -261,5 +261,5 @@
             self.events[event] += 1
             if event in ERROR_EVENTS:
                 self.errors.append(line.decode())
-            if event == "metrics.reported":
+            if event == "resources.reported":
                 self.last_metrics = record
--- a/dahliabend/proxy/upstream_request.py
+++ b/dahliabend/proxy/upstream_request.py
@@ -124,9 +124,10 @@
         connect_deadline = min(self.send_deadline, self.started_at + resources.connect_timeout)
         connect_timer = resources.timers.schedule(connect_deadline, self.stop_connecting)
         try:
-            await dial(resources.timers.loop, self.endpoint.address, connection)
+            address = self.endpoint.address
+            await dial(resources.timers.loop, address, connection)
         except (OSError, asyncio.CancelledError) as error:
-            self.failure_reason = f"connect: {error or 'no answer'}"
+            self.failure_reason = f"connect: {str(error) or 'no answer'}"
             # If the send deadline passed before the connect timeout, it is not a fault of the upstream.
             is_out_of_time = self.send_deadline <= min(clock(), self.started_at + resources.connect_timeout)
             self.finish(Outcome.NOT_SENT if is_out_of_time else Outcome.UNREACHABLE)
@@ -135,6 +136,12 @@
             resources.timers.cancel(connect_timer)
             self.connect_task = None
         self.endpoint.connections.add(connection)
+        if address != self.endpoint.address:
+            # Another process may have taken the address that the endpoint had.
+            connection.abort()
+            self.failure_reason = "connect: the endpoint's address has changed"
+            self.finish(Outcome.UNREACHABLE)
+            return
         self.send_on_connection(connection)
 
     def stop_connecting(self) -> None:
--- a/dahliabend/server/log_events.py
+++ b/dahliabend/server/log_events.py
@@ -165,12 +165,30 @@
     "request.refused_for_memory": LogEvent(
         "info", "a request was rejected before its admission, as too much memory is held", ("trace_id",)
     ),
+    "request.repeated_id": LogEvent(
+        "info",
+        "a request was refused (409): one with its id is open, or may have run in the last 10 s",
+        ("trace_id",),
+    ),
     "request.shed": LogEvent(
         "info",
         "a request was rejected while it was received, as too much memory is held",
         ("target", "held_bytes"),
     ),
     "request_table.exhausted": LogEvent("warning", "more requests than the table holds", ("requests",)),
+    "resources.reported": LogEvent(
+        "info",
+        "every 5 s: what the process holds in memory, for whom; the longest turn of its event loop; "
+        "connections closed, by reason",
+        (
+            "resident_bytes",
+            "held_bytes",
+            "held_by",
+            "relieved",
+            "longest_turn_ms",
+            "closed",
+        ),
+    ),
     "server.start_failed": LogEvent("error", "it could not start", ("reason",)),
     "server.started": LogEvent("info", "clients are accepted", ("address", "entry_tier", "pools")),
     "server.stopped": LogEvent("info", "the process ends in order", ("counts",)),
--- a/dahliabend/server/server.py
+++ b/dahliabend/server/server.py
@@ -6,8 +6,10 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING, Any
 
+from dahliabend.discovery.watch_connection import WatchConnection
 from dahliabend.http.admin_connection import AdminConnection
 from dahliabend.http.client_connection import ClientConnection
+from dahliabend.http.upstream_connection import UpstreamConnection
 from dahliabend.proxy.router import Router
 from dahliabend.server.admin import AdminApi
 from dahliabend.server.lifecycle import ACCEPT_PERIOD, ANSWER_MARGIN, BLOCKED_SIGNALS, Lifecycle
@@ -17,7 +19,7 @@
 from dahliabend.transport.descriptor_budget import ADMIN_DESCRIPTORS, PROCESS_DESCRIPTORS, DescriptorBudget
 from dahliabend.transport.listener import Listener
 from dahliabend.transport.memory_budget import MemoryBudget
-from dahliabend.transport.timers import TimerQueue, clock
+from dahliabend.transport.timers import MICROSECONDS_PER_MILLISECOND, TimerQueue, clock
 from dahliabend.transport.turn_budget import TurnBudget
 
 if TYPE_CHECKING:
@@ -30,6 +32,7 @@
 CLIENT_IDLE_TIMEOUT = 2_000_000  # client connections that are idle for longer are closed
 IDLE_SWEEP_INTERVAL = CLIENT_IDLE_TIMEOUT // 4  # between two sweeps for such connections
 EVACUATION_INTERVAL = ANSWER_MARGIN // 3  # between two sweeps that close idle clients during an evacuation
+MAX_TIMER_LATENESS = 10_000  # from which on input is read before timers are run
 METRICS_INTERVAL = 5_000_000  # between two log lines of metrics
 
 
@@ -73,7 +76,7 @@
         self.admin_address = admin_address
         self.log = log
         self.max_request_time = 0
-        self.timers = TimerQueue(loop)
+        self.timers = TimerQueue(loop, MAX_TIMER_LATENESS)
         reserved = ADMIN_DESCRIPTORS if admin_address else 0
         self.memory = MemoryBudget()
         self.turn = TurnBudget(loop)
@@ -185,8 +188,26 @@
     def log_metrics_periodically(self) -> None:
         """Log the metrics that on-call engineers look at first, now and every `METRICS_INTERVAL`."""
         self.log_metrics()
+        self.log("resources.reported", **self.resource_metrics())
         self.timers.schedule(clock() + METRICS_INTERVAL, self.log_metrics_periodically)
 
+    def resource_metrics(self) -> dict[str, object]:
+        """Return what the process holds in memory, for whom, and the longest turn of its event loop."""
+        held_by = {
+            kind.__name__: sum(
+                holder.held_bytes for holder in self.memory.holders if isinstance(holder, kind)
+            )
+            for kind in (ClientConnection, UpstreamConnection, WatchConnection)
+        }
+        return {
+            "resident_bytes": self.memory_guard.resident,
+            "held_bytes": self.memory.held,
+            "held_by": held_by,
+            "relieved": self.memory.relieved,
+            "longest_turn_ms": self.turn.take_longest() // MICROSECONDS_PER_MILLISECOND,
+            "closed": dict(self.descriptors.closed_by_reason),
+        }
+
     @abstractmethod
     def log_metrics(self) -> None:
         """Log the current metrics as `metrics.reported`."""
--- a/dahliabend/simulation/balancer_host.py
+++ b/dahliabend/simulation/balancer_host.py
@@ -35,6 +35,8 @@
         "request.client_disconnected",
         "request.succeeded",
         "metrics.reported",
+        "memory.limited",
+        "resources.reported",
     }
 )
 # The time line uses the former names of log events and fields: a new name would change the digests.
--- a/dahliabend/transport/connection.py
+++ b/dahliabend/transport/connection.py
@@ -9,8 +9,9 @@
 from dahliabend.transport import host_info
 from dahliabend.transport.descriptor_budget import DescriptorBudget
 from dahliabend.transport.timers import clock
-from dahliabend.transport.turn_budget import CONNECTION_TIME, RECEIVE_AREA_BYTES, SMALL_READ_BYTES
+from dahliabend.transport.turn_budget import CONNECTION_TIME, RECEIVE_AREA_BYTES
 
+MIN_STEP = 1024  # bytes; fewer are passed on at once in any case
 WRITE_BYTES = 8192  # passed to the transport at once
 # Bytes. Without a limit the kernel's buffer grows to megabytes. Bytes in it count as written, so a peer that
 # reads slowly would seem to make no progress while the buffer is emptied.
@@ -32,6 +33,7 @@
         turn: Divides the event loop's time among the connections.
         held_bytes: Bytes on the account for this connection.
         attained_time: Processing time (us) since no input was left.
+        last_input_at: Clock time (us) of the last read.
         unprocessed: Bytes that were received and not yet passed to `bytes_received`.
         has_more_input: Whether more input follows the bytes that are being processed.
         pending: Pieces to write that the kernel has not taken entirely.
@@ -44,6 +46,7 @@
         parsing_blocked: Whether received bytes have to wait until earlier requests are answered.
         reading_suspended: Whether reading is stopped because the receiver of the bytes is slower.
         is_transport_paused: Whether the transport has been told not to read.
+        is_paused_for_turn: Whether that is so only until the input has been processed in a later turn.
         unprocessed_since: Clock time (us) since which received bytes may have waited; 0 if none wait.
         may_wait_in_kernel: Whether bytes may have waited in the kernel, because reading was paused.
         closed: Whether the connection is closed or being closed.
@@ -59,6 +62,7 @@
         self.handle = descriptors.register(self)
         self.held_bytes = 0
         self.attained_time = 0
+        self.last_input_at = 0
         self.unprocessed = bytearray()
         self.has_more_input = False
         self.pending: list[bytes | bytearray] = []
@@ -71,6 +75,7 @@
         self.parsing_blocked = False
         self.reading_suspended = False
         self.is_transport_paused = False
+        self.is_paused_for_turn = False
         self.unprocessed_since = 0
         self.may_wait_in_kernel = False
         self.closed = False
@@ -128,6 +133,7 @@
             return
         view = self.turn.receive_area[:nbytes]
         now = clock()
+        self.last_input_at = now
         if self.unprocessed:
             self.unprocessed += view
         elif self._must_wait:
@@ -159,7 +165,7 @@
         size = len(view)
         while not self._must_wait:
             step = size - position
-            if step > SMALL_READ_BYTES:
+            if step > MIN_STEP:
                 step = min(step, self.input_step())
             end = position + step
             self.has_more_input = end < size
@@ -170,7 +176,7 @@
             if clock() - began_at > CONNECTION_TIME:
                 self.turn.defer(self)
                 break
-        if size > SMALL_READ_BYTES:
+        if size > MIN_STEP:
             self.attained_time += clock() - began_at
         if position < size and not self.closed:
             self.unprocessed += view[position:]
@@ -178,12 +184,13 @@
     def _input_processed(self) -> None:
         """Pause or resume reading as the rest of the input demands, and account for what is held."""
         waiting = len(self.unprocessed)
-        is_scarce = self.memory.held > self.memory.high_water
-        max_waiting = SMALL_READ_BYTES if is_scarce else RECEIVE_AREA_BYTES
-        if waiting >= max_waiting or self.reading_suspended or self in self.turn.deferred:
+        if self in self.turn.deferred:
+            self._pause_for_turn()
+        elif waiting >= RECEIVE_AREA_BYTES or self.reading_suspended:
             self.pause_transport()
         elif self.is_transport_paused and self.transport is not None and not self.closed:
             self.is_transport_paused = False
+            self.is_paused_for_turn = False
             self.transport.resume_reading()
         if waiting or self.unprocessed_since:
             self._update_waiting_time()
@@ -207,11 +214,20 @@
 
     def pause_transport(self) -> None:
         """Tell the transport not to read."""
+        if self.is_transport_paused and not self.is_paused_for_turn:
+            return
+        self._pause_for_turn()
+        if self.is_transport_paused:
+            self.is_paused_for_turn = False
+            self.transport_paused()
+
+    def _pause_for_turn(self) -> None:
+        """Tell the transport not to read until the connection's input has been processed in a later turn."""
         if not self.is_transport_paused and self.transport is not None and not self.closed:
             self.is_transport_paused = True
+            self.is_paused_for_turn = True
             self.may_wait_in_kernel = True
             self.transport.pause_reading()
-            self.transport_paused()
 
     def suspend_reading(self) -> None:
         """Stop reading because the receiver of the bytes is slower.
@@ -295,6 +311,14 @@
         while self.pending and self.pending_offset >= len(self.pending[0]):
             self.pending_offset -= len(self.pending.pop(0))
 
+    def drop_output(self) -> None:
+        """Drop what has not been sent, after the connection has been closed."""
+        self.pending = []
+        self.pending_offset = 0
+        self.unsent_bytes = 0
+        self.bytes_in_transport = 0
+        self.update_output_account()
+
     def update_output_account(self) -> None:
         """Set what the connection holds on the account after a write that the kernel has not taken.
 
@@ -361,7 +385,9 @@
         if self.closed:
             return
         self.closed = True
-        self.close_reason = reason
+        if reason:
+            self.close_reason = reason
+            self.descriptors.closed_by_reason[reason] += 1
         self.descriptors.mark_busy(self.handle)
         if self.sock is not None and self.transport is not None:
             with contextlib.suppress(OSError):  # the socket may have been closed already
--- a/dahliabend/transport/descriptor_budget.py
+++ b/dahliabend/transport/descriptor_budget.py
@@ -1,6 +1,7 @@
 """The table of open connections, which enforces the budget of file descriptors."""
 
-from itertools import chain
+from collections import Counter
+from itertools import chain, islice
 from typing import Protocol
 
 from dahliabend.transport.handles import NO_HANDLE, HandleTable
@@ -12,6 +13,7 @@
 RESERVE_FRACTION = 1 / 16  # of the limit, for clients that can only be told that there is no capacity
 MIN_RESERVE = 8
 MIN_CONNECTIONS = 64  # however little memory there is
+MAX_EVICTION_TRIES = 16  # connections looked at for one that is needed; each look costs a system call
 EVICTED = "evicted"  # reason for the log
 
 
@@ -47,6 +49,7 @@
         idle: By handle, the clock time (us) since which a connection is idle; the oldest first.
         slow_after: By handle, the clock time (us) from which a connection that is receiving a request counts
             as slow.
+        closed_by_reason: Number of connections that this process has closed, by the reason that it noted.
         evicting: Handles of connections that were evicted and are not closed yet.
         share: Fraction of the descriptors that this process may use.
         reserve: Descriptors kept for clients that can only be rejected.
@@ -72,6 +75,7 @@
         self.idle: dict[int, int] = {}
         self.slow_after: dict[int, int] = {}
         self.evicting: set[int] = set()
+        self.closed_by_reason: Counter[str] = Counter()
         self.reserve = max(MIN_RESERVE, round(limit * RESERVE_FRACTION))
         self.set_share(1)
 
@@ -114,11 +118,18 @@
         if not self.reserve_in_use:
             return False
         slow = (handle for handle, when in self.slow_after.items() if when <= now)
-        for handle in chain(self.idle, slow):
+        for handle in tuple(islice(chain(self.idle, slow), MAX_EVICTION_TRIES)):
             if self._evict(handle):
                 return self.is_exhausted()
+            self._move_to_end(handle)
         return True
 
+    def _move_to_end(self, handle: int) -> None:
+        """Try a connection last that can't be evicted now."""
+        for table in (self.idle, self.slow_after):
+            if handle in table:
+                table[handle] = table.pop(handle)
+
     @property
     def reserve_in_use(self) -> bool:
         """Whether the reserve is in use; no connection is then kept open for later requests."""
--- a/dahliabend/transport/listener.py
+++ b/dahliabend/transport/listener.py
@@ -12,6 +12,7 @@
 
 BACKLOG = 1024  # connections that may wait in the kernel's queue
 MAX_ACCEPTS_AT_ONCE = 64  # connections accepted before other events are handled
+MAX_ACCEPT_TIME = 4_000  # microseconds spent on accepting before other events are handled
 RETRY_DELAY = 5_000  # microseconds until the next attempt to accept, if no descriptor is left
 
 
@@ -87,6 +88,7 @@
         listening = self.sock
         if listening is None:
             return False
+        began_at = clock()
         for _ in range(MAX_ACCEPTS_AT_ONCE):
             # Idle connections are evicted first: waiting clients would otherwise miss their deadlines.
             if self.descriptors.is_full_after_eviction(clock()) and self.descriptors.is_exhausted():
@@ -102,6 +104,8 @@
                 self._pause_accepting(listening)
                 return False
             self._start_accepted(sock)
+            if clock() - began_at > MAX_ACCEPT_TIME:
+                break  # the listening socket stays readable
         return True
 
     def _start_accepted(self, sock: socket.socket) -> None:
--- a/dahliabend/transport/memory_budget.py
+++ b/dahliabend/transport/memory_budget.py
@@ -6,15 +6,15 @@
 from dahliabend.transport.timers import clock
 
 # What an open connection holds with nothing buffered: its objects, its parser and its transport.
-CONNECTION_BYTES = 10 * 1024
+CONNECTION_BYTES = 6 * 1024
 CONNECTIONS_FRACTION = 1 / 2  # of the capacity, for connections with nothing buffered
-HIGH_WATER = 3 / 4  # of the capacity: above it, holders have to give up what they hold
-LOW_WATER = 5 / 8  # of the capacity, which is then aimed at
-FULL = 7 / 8  # of the capacity: above it, no request is admitted
+HIGH_WATER = 5 / 8  # of the capacity: above it, holders have to give up what they hold
+LOW_WATER = 1 / 2  # of the capacity, which is then aimed at
+FULL = 3 / 4  # of the capacity: above it, no request is admitted
 MAX_ALLOWANCE = 64 * 1024  # bytes that one direction of a connection may buffer
 MIN_ALLOWANCE = 4 * 1024
 ALLOWANCE_DIVISOR = 16  # one direction of a connection may buffer this part of the free bytes
-RELIEF_PAUSE = 5_000  # microseconds without another relief after one that freed nothing
+RELIEF_PAUSE = 5_000  # microseconds without another relief after one that did not free enough
 UNLIMITED = 1 << 50  # bytes
 
 
@@ -101,8 +101,10 @@
         """
         if self.held > self.high_water:
             now = clock()
-            if now >= self._next_relief and not self.relieve(self.low_water, now):
-                self._next_relief = now + RELIEF_PAUSE
+            if now >= self._next_relief:
+                self.relieve(self.low_water, now)
+                if self.held > self.low_water:
+                    self._next_relief = now + RELIEF_PAUSE
 
     def relieve(self, target: int, now: int) -> bool:
         """Make holders give up what they hold until at most `target` bytes are held.
--- a/dahliabend/transport/timers.py
+++ b/dahliabend/transport/timers.py
@@ -11,6 +11,7 @@
 MICROSECONDS_PER_MILLISECOND = 1_000
 MICROSECONDS_PER_SECOND = 1_000_000
 MILLISECONDS_PER_SECOND = 1_000
+ANY_LATENESS = 1 << 62  # microseconds: late timers never wait
 MIN_CANCELLED_TO_COMPACT = 64  # with fewer cancelled timers, a pass to remove them is not worth its cost
 
 _WHEN = 0  # indexes into a `Timer`
@@ -46,6 +47,9 @@
 class TimerQueue:
     """A heap of timers that uses one timer of the event loop, set for the earliest of them.
 
+    After a turn of the event loop that was so long that timers are late, they wait for one turn more: what
+    peers have sent meanwhile is read first, or it would count as not sent in time.
+
     Attributes:
         loop: The event loop that runs the callbacks.
         heap: The timers, including cancelled ones that have not been removed yet.
@@ -53,10 +57,14 @@
         cancelled_count: How many cancelled timers are still in the heap.
         loop_timer: The event loop's timer, if one is set.
         armed_for: Clock time that `loop_timer` was set for.
+        max_lateness: Lateness (us) from which on the timers wait for another turn.
+        has_waited: Whether the timers that are due have waited for another turn.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, max_lateness: int = ANY_LATENESS) -> None:
         self.loop = loop
+        self.max_lateness = max_lateness
+        self.has_waited = False
         self.heap: list[Timer] = []
         self.scheduled_count = 0
         self.cancelled_count = 0
@@ -99,6 +107,11 @@
         """Run the timers that are due, and set the event loop's timer for the next one."""
         self.loop_timer = None
         now = clock()
+        if now - self.armed_for > self.max_lateness and not self.has_waited:
+            self.has_waited = True
+            self.loop_timer = self.loop.call_later(0, self.run_due)
+            return
+        self.has_waited = False
         while self.heap and self.heap[0][_WHEN] <= now:
             timer = heappop(self.heap)
             callback = timer[_CALLBACK]
--- a/dahliabend/transport/turn_budget.py
+++ b/dahliabend/transport/turn_budget.py
@@ -6,10 +6,11 @@
 from dahliabend.transport.timers import clock
 
 RECEIVE_AREA_BYTES = 8192  # largest single read
-SMALL_READ_BYTES = 1024  # read at once while a turn's time is used up
 # Microseconds.
 TURN_TIME = 5_000  # of processing input in one turn, for all connections together
 CONNECTION_TIME = 1_000  # of that, for one connection
+MAX_WAIT = 100_000  # until a connection that waits is due, however much processing time it has had
+WAIT_PER_ATTAINED = 32  # by what multiple of its processing time a connection is due later
 
 
 class InputProcessor(Protocol):
@@ -28,8 +29,9 @@
 class TurnBudget:
     """Divides the time of a turn: what can't be processed in it waits for the next turns.
 
-    Of the connections that wait, the one that has had the least processing time goes first. So a small
-    request is served ahead of large or endless ones, however many connections send these.
+    A connection that waits is due the later, the more processing time it has had, and the first one due goes
+    first. So a small request is served ahead of large or endless ones, however many connections send these,
+    and a large one is not put off for good by ever new small ones.
 
     One area receives the bytes of every read: they are processed, or copied, before the next one.
 
@@ -37,7 +39,7 @@
         receive_area: The buffer of all reads.
         is_over: Whether the time of this turn is used up.
         longest_turn: Longest time (us) between the beginnings of two turns with input, since `take_longest`.
-        deferred: The connections that wait, in no particular order.
+        deferred: The connections that wait, each with the clock time (us) from which it is due.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop | None = None) -> None:
@@ -50,13 +52,13 @@
         self.receive_area = memoryview(bytearray(RECEIVE_AREA_BYTES))
         self.is_over = False
         self.longest_turn = 0
-        self.deferred: dict[InputProcessor, None] = {}
+        self.deferred: dict[InputProcessor, int] = {}
         self._began_at = 0
         self._is_running = False  # whether the end of the turn is scheduled
 
     def read_view(self, limit: int) -> memoryview:
         """Return where the next read goes, `limit` bytes at most."""
-        return self.receive_area[: min(limit, SMALL_READ_BYTES) if self.is_over else limit]
+        return self.receive_area[:limit]
 
     def has_time(self, now: int) -> bool:
         """Return whether input may be processed at `now` (us, clock time); begin a turn if none has begun."""
@@ -75,9 +77,10 @@
 
     def defer(self, connection: InputProcessor) -> None:
         """Let a connection process its input in a later turn."""
-        self.deferred[connection] = None
+        now = clock()
+        self.deferred[connection] = now + min(MAX_WAIT, WAIT_PER_ATTAINED * connection.attained_time)
         if not self._is_running:
-            self._begin(clock())
+            self._begin(now)
 
     def forget(self, connection: InputProcessor) -> None:
         """Remove a connection that has been closed."""
@@ -92,7 +95,7 @@
             self.is_over = False
             return
         self._begin(now)
-        for connection in sorted(self.deferred, key=_attained_time):
+        for connection in sorted(self.deferred, key=self.deferred.__getitem__):
             if connection not in self.deferred:  # another one's input has closed it
                 continue
             del self.deferred[connection]
@@ -105,7 +108,3 @@
         longest = self.longest_turn
         self.longest_turn = 0
         return longest
-
-
-def _attained_time(connection: InputProcessor) -> int:
-    return connection.attained_time
--- a/tests/simulation/defects.py
+++ b/tests/simulation/defects.py
@@ -9,7 +9,7 @@
 import sys
 from collections.abc import Callable, Iterator
 from concurrent.futures import ProcessPoolExecutor
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
 
 from dahliabend.discovery import endpoint_list
@@ -190,11 +190,14 @@
     original = UpstreamConnection.on_message_begin
 
     def on_message_begin(self):
-        previous_body = list(getattr(self, "body", []))
+        previous_body = bytearray(getattr(self, "body", b""))
         original(self)
         self.body = previous_body
 
-    return replace_attribute(UpstreamConnection, "on_message_begin", on_message_begin)
+    stack = ExitStack()
+    stack.enter_context(replace_attribute(UpstreamConnection, "on_message_begin", on_message_begin))
+    stack.enter_context(replace_attribute(UpstreamConnection, "_drop_response", lambda self: None))
+    return stack
 
 
 def lose_exclusions_in_hot_restart():
@@ -223,7 +226,7 @@
         self.owner.remove_connection(self)
         handler, self.handler = self.handler, None
         if handler is not None and getattr(self, "head_complete", False):
-            handler.response_complete(UpstreamResponse(200, b"", b"".join(self.body), b"", False))
+            handler.response_complete(UpstreamResponse(200, b"", bytes(self.body), b"", False))
         elif handler is not None:
             handler.connection_failed(self.is_flushed)
 
@@ -312,7 +315,10 @@
 
 
 def disable_hangup_detection():
-    return replace_attribute(ClientConnection, "transport_paused", lambda self: None)
+    stack = ExitStack()
+    stack.enter_context(replace_attribute(ClientConnection, "transport_paused", lambda self: None))
+    stack.enter_context(replace_attribute(ClientConnection, "peer_has_closed", lambda self: False))
+    return stack
 
 
 def disable_silence_timeout():
