Soak: seeded runs of one balancer under its limits, with signals in series, kills and crowds

Checked: lost, foreign, repeated, time told upstream, memory, exit status, faults in the log.

On the way: a failed start raised while it logged the reason, as the event loop had ended; two runs of one process could get the same port.

--- a/dahliabend/cli/process_tests.py
+++ b/dahliabend/cli/process_tests.py
@@ -16,6 +16,9 @@
 
 MAX_INSTANCES = 64
 MAX_UPSTREAMS = 64
+MAX_SOAK_ACTIONS = 100
+MAX_SOAK_JOBS = 8
+MAX_SHOWN_VIOLATIONS = 6  # of a run
 MICROSECONDS_PER_MILLISECOND = 1000
 MICROSECONDS_PER_SECOND = 1e6
 STEP_MARK = "STEP"  # in the lines of the time line at which a step of the script begins
@@ -126,6 +129,32 @@
     return asyncio.run(ProcessTestRunner(cluster_script, traffic, upstreams, print_line).run_script())
 
 
+@process_tests.command("soak")
+@click.option("--seeds", default="0..50", show_default=True, help="First..last, the last one not run.")
+@click.option("--actions", type=click.IntRange(1, MAX_SOAK_ACTIONS), default=4, show_default=True)
+@click.option("--jobs", type=click.IntRange(1, MAX_SOAK_JOBS), default=3, show_default=True)
+def soak_command(*, seeds: str, actions: int, jobs: int) -> None:
+    """Run one balancer under its limits with signals, kills and rude clients; exit with 1 after a violation.
+
+    Each run is drawn from its seed. All traffic stays on 127.0.0.1.
+    """
+    from dahliabend.process_tests.soak import SoakResult, run_seeds
+
+    first, _, last = seeds.partition("..")
+    if not (first.isdigit() and last.isdigit()):
+        raise click.BadParameter("a range of seeds is FIRST..LAST", param_hint="--seeds")
+
+    def report(result: SoakResult) -> None:
+        click.echo(result.line())
+        for violation in result.violations[:MAX_SHOWN_VIOLATIONS]:
+            click.echo(f"  BROKEN {violation.strip()}")
+
+    selected = range(int(first), int(last))
+    broken = asyncio.run(run_seeds(selected, actions, jobs, report))
+    click.echo(f"{len(selected) - broken} of {len(selected)} without a break")
+    raise click.exceptions.Exit(1 if broken else 0)
+
+
 @process_tests.command("model")
 @_with_script
 @json_option
--- a/dahliabend/process_tests/processes.py
+++ b/dahliabend/process_tests/processes.py
@@ -28,11 +28,14 @@
 LogRecord = dict[str, Any]
 AdminResponse = TypeVar("AdminResponse", bound=msgspec.Struct)
 
+_handed_out: set[int] = set()  # by `free_ports`; runs at the same time must not get the same ports
+
 
 def free_ports(count: int) -> list[int]:
     """Return ports of 127.0.0.1 that are free for TCP and UDP.
 
-    They are outside of the ephemeral range, so that instances can bind them again after a restart.
+    They are outside of the ephemeral range, so that instances can bind them again after a restart. No port is
+    returned twice by one process.
 
     Raises:
         OSError: Fewer than `count` ports are free.
@@ -43,6 +46,8 @@
     with ExitStack() as stack:
         for step in range(port_count):
             port = FIRST_PORT + (offset + step) % port_count
+            if port in _handed_out:
+                continue
             sockets = [
                 stack.enter_context(socket.socket(socket.AF_INET, socket_type))
                 for socket_type in (socket.SOCK_STREAM, socket.SOCK_DGRAM)
@@ -52,6 +57,7 @@
                     sock.bind((LOOPBACK, port))
                 ports.append(port)
             if len(ports) == count:
+                _handed_out.update(ports)
                 return ports
     raise OSError("no free ports on 127.0.0.1")
 
--- a/dahliabend/process_tests/rude_run.py
+++ b/dahliabend/process_tests/rude_run.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
+from socket import socket
 from typing import Any
 
 from dahliabend.process_tests.platform_balancer import MEGABYTE, PlatformBalancer, ProcessLimits
@@ -27,6 +28,7 @@
 PATIENCE = 2.0  # seconds that a sound client waits
 HEAD_START = 0.5  # seconds in which the sound clients are alone
 TAIL = 0.5  # seconds in which they are alone again
+EXCUSE = 0.1  # seconds around an outright kill
 MIN_SERVED_SHARE = 0.5  # of the sound clients' requests
 
 
@@ -42,7 +44,11 @@
     """
 
     def __init__(
-        self, directory: Path, limits: ProcessLimits, settings: dict[str, Any] | None = None
+        self,
+        directory: Path,
+        limits: ProcessLimits,
+        settings: dict[str, Any] | None = None,
+        listener: socket | None = None,
     ) -> None:
         self.executed = UpstreamRecord()
         self.clients = ClientRecord()
@@ -51,7 +57,11 @@
         self.directory = directory
         self.limits = limits
         self.settings = settings
+        self.listener = listener
+        self.killed_at: list[float] = []
         self.balancer: PlatformBalancer
+        self.predecessors: list[PlatformBalancer] = []
+        self._connectable_until: float | None = None
 
     async def open(self) -> None:
         """Start all peers and the balancer."""
@@ -59,27 +69,59 @@
             await upstream.open()
         self.discovery.entries = [upstream.entry for upstream in self.upstreams]
         await self.discovery.open()
+        await self._start_balancer()
+
+    async def _start_balancer(self) -> None:
         port, admin_port = free_ports(2)
-        addresses = (LOOPBACK, port), (LOOPBACK, admin_port)
-        self.balancer = PlatformBalancer(
-            self.directory, addresses, self.discovery.address, self.limits, self.settings
+        address = (LOOPBACK, port if self.listener is None else self.listener.getsockname()[1])
+        balancer = PlatformBalancer(
+            self.directory,
+            (address, (LOOPBACK, admin_port)),
+            self.discovery.address,
+            self.limits,
+            self.settings,
         )
-        await self.balancer.start()
+        if not hasattr(self, "balancer"):
+            self.balancer = balancer
+        await balancer.start(self.listener)
+        self.balancer = balancer
+
+    async def start_successor(self, listener: socket | None) -> None:
+        """Start another process on the same listening socket; it becomes the balancer."""
+        self.listener = listener
+        self.predecessors.append(self.balancer)
+        await self._start_balancer()
+
+    # Which connections clients open, as the platform's front directs them
+
+    def stop_connecting_after(self, seconds: float) -> None:
+        """Let clients open no connection from now plus `seconds` on."""
+        self._connectable_until = time.monotonic() + seconds
+
+    def allow_connecting(self) -> None:
+        """Let clients open connections again."""
+        self._connectable_until = None
+
+    def may_connect(self) -> bool:
+        """Return whether clients may open a connection now."""
+        return self._connectable_until is None or time.monotonic() < self._connectable_until
+
+    def is_excused(self, sent_at: float, ended_at: float) -> bool:
+        """Return whether an outright kill may have ended a request that was sent and ended at these times."""
+        return any(sent_at - EXCUSE <= killed_at <= ended_at + EXCUSE for killed_at in self.killed_at)
 
     def sound_clients(
-        self, until: float, seed: int = 0, patience: float = PATIENCE
+        self, stop: asyncio.Event, seed: int = 0, patience: float = PATIENCE
     ) -> list[asyncio.Task[None]]:
-        """Start sound clients, which send requests until a time (monotonic seconds)."""
+        """Start sound clients, which send requests until `stop` is set."""
         return [
             asyncio.create_task(
                 SoundClient(
                     f"c{seed}.{number}",
-                    lambda: self.balancer.address,
-                    self.clients,
-                    self.executed,
+                    self,
                     patience,
                     Random(f"{seed} {number}"),
-                ).run(until, MEAN_PAUSE)
+                ).run(stop, MEAN_PAUSE)
             )
             for number in range(SOUND_CLIENTS)
         ]
@@ -87,16 +129,17 @@
 
 @asynccontextmanager
 async def open_environment(
-    limits: ProcessLimits, settings: dict[str, Any] | None = None
+    limits: ProcessLimits, settings: dict[str, Any] | None = None, listener: socket | None = None
 ) -> AsyncIterator[Environment]:
     """Open an environment; end all that it has started at the end of the context."""
     with tempfile.TemporaryDirectory() as directory:
-        environment = Environment(Path(directory), limits, settings)
+        environment = Environment(Path(directory), limits, settings, listener)
         try:
             await environment.open()
             yield environment
         finally:
-            await environment.balancer.kill()
+            for balancer in (*environment.predecessors, environment.balancer):
+                await balancer.kill()
             for server in (environment.discovery.server, *(u.server for u in environment.upstreams)):
                 server.close()
 
@@ -156,11 +199,14 @@
 ) -> RudeRunResult:
     """Run sound clients beside a crowd of rude clients of one form."""
     async with open_environment(limits) as environment:
-        until = time.monotonic() + HEAD_START + seconds + TAIL
-        sound = environment.sound_clients(until, seed)
+        stop = asyncio.Event()
+        sound = environment.sound_clients(stop, seed)
         await asyncio.sleep(HEAD_START)
         crowd = await start_crowd(form, environment.balancer.address, count, seconds, seed)
-        await asyncio.gather(*sound, crowd.wait())
+        await crowd.wait()
+        await asyncio.sleep(TAIL)
+        stop.set()
+        await asyncio.gather(*sound)
         balancer = environment.balancer
         return RudeRunResult(
             form=form,
--- a/dahliabend/process_tests/sound_clients.py
+++ b/dahliabend/process_tests/sound_clients.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import time
-from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
 from random import Random
+from typing import Protocol
 
+from dahliabend.process_tests.platform_balancer import PlatformBalancer
 from dahliabend.process_tests.recording_upstream import UpstreamRecord, parse_head
-from dahliabend.simulation.addresses import Address
 
 LATE_ALLOWANCE = 0.55  # seconds after the client's time up to which an answer is late and not lost
 SERVED = 200
@@ -33,6 +33,8 @@
         late: Number of answers after the client's time, within `LATE_ALLOWANCE`.
         resent: Number of requests that crossed the close of their connection and were sent once more.
         refused_connections: Number of connections that could not be opened.
+        excused: Number of requests that an outright kill of the process may have ended.
+        sent_at: Monotonic seconds at which each request without a long body was sent.
     """
 
     statuses: dict[int, int] = field(default_factory=dict)
@@ -42,6 +44,8 @@
     late: int = 0
     resent: int = 0
     refused_connections: int = 0
+    excused: int = 0
+    sent_at: dict[str, float] = field(default_factory=dict)
 
     @property
     def answered(self) -> int:
@@ -72,15 +76,35 @@
         super().__init__("connection ended")
 
 
+class ClientEnvironment(Protocol):
+    """What surrounds a client.
+
+    Attributes:
+        clients: Takes what becomes of the requests.
+        executed: What the upstreams have received.
+    """
+
+    clients: ClientRecord
+    executed: UpstreamRecord
+
+    @property
+    def balancer(self) -> PlatformBalancer:
+        """The balancer that new connections go to."""
+
+    def may_connect(self) -> bool:
+        """Return whether a connection may be opened now."""
+
+    def is_excused(self, sent_at: float, ended_at: float) -> bool:
+        """Return whether an outright kill may have ended a request that was sent and ended at these times."""
+
+
 class SoundClient:
     """One client, which sends one request at a time on a connection that it keeps."""
 
     def __init__(
         self,
         name: str,
-        address: Callable[[], Address],
-        record: ClientRecord,
-        executed: UpstreamRecord,
+        environment: ClientEnvironment,
         patience: float,
         rng: Random,
     ) -> None:
@@ -88,25 +112,23 @@
 
         Args:
             name: Beginning of its requests' trace ids.
-            address: Returns the balancer's address.
-            record: Takes what became of the requests.
-            executed: What the upstreams have received.
+            environment: What surrounds it.
             patience: Seconds that it waits for an answer.
             rng: Generator of its choices.
         """
         self.name = name
-        self.address = address
-        self.record = record
-        self.executed = executed
+        self.environment = environment
+        self.record = environment.clients
+        self.executed = environment.executed
         self.patience = patience
         self.rng = rng
         self.sent = 0
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
 
-    async def run(self, until: float, mean_pause: float) -> None:
-        """Send requests until a time (monotonic seconds), with pauses in between."""
-        while time.monotonic() < until:
+    async def run(self, stop: asyncio.Event, mean_pause: float) -> None:
+        """Send requests until `stop` is set, with pauses in between."""
+        while not stop.is_set():
             await asyncio.sleep(self.rng.expovariate(1 / mean_pause))
             await self.send_request()
         self.disconnect()
@@ -119,9 +141,12 @@
 
     async def _connect(self) -> bool:
         """Open a connection; return whether it is open."""
+        if not self.environment.may_connect():
+            await asyncio.sleep(RECONNECT_PAUSE)
+            return False
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
-                self.reader, self.writer = await asyncio.open_connection(*self.address())
+                self.reader, self.writer = await asyncio.open_connection(*self.environment.balancer.address)
         except OSError:
             self.record.refused_connections += 1
             await asyncio.sleep(RECONNECT_PAUSE)
@@ -137,13 +162,20 @@
         trace_id = f"{self.name}-{self.sent}"
         message = self._message(trace_id)
         sent_at = time.monotonic()
+        if len(message) < UPLOAD_BYTES:
+            self.record.sent_at[trace_id] = sent_at
         result = await self._exchange(message, sent_at)
         if result is None and is_reused and not self.executed.arrivals.get(trace_id):
             self.record.resent += 1
             if not await self._connect():
                 return
             sent_at = time.monotonic()
+            self.record.sent_at.pop(trace_id, None)
             result = await self._exchange(message, sent_at)
+        is_unanswered = result is None or isinstance(result, str)
+        if is_unanswered and self.environment.is_excused(sent_at, time.monotonic()):
+            self.record.excused += 1
+            return
         self._record(trace_id, result, time.monotonic() - sent_at)
 
     def _message(self, trace_id: str) -> bytes:
--- a/dahliabend/server/log.py
+++ b/dahliabend/server/log.py
@@ -63,6 +63,11 @@
         blocking = False
         os.set_blocking(self.sink, blocking)
 
+    def detach(self) -> None:
+        """Write lines at once from now on, as the event loop has ended."""
+        self.loop = None
+        self.write_scheduled = False
+
     def __call__(self, event: str, **fields: object) -> None:
         """Log an event with its fields."""
         line = {"at": datetime.now(UTC), "balancer": self.name, "event": event, **fields}
@@ -103,5 +108,5 @@
 
     def close(self) -> None:
         """Write the rest of the buffer, without the event loop."""
-        self.loop = None
+        self.detach()
         self.write()
--- a/dahliabend/server/startup.py
+++ b/dahliabend/server/startup.py
@@ -29,6 +29,7 @@
     try:
         uvloop.run(serve_platform(settings, log))
     except OSError as error:
+        log.detach()
         log("server.start_failed", reason=str(error))
         return EXIT_FAILED
     finally:
