Connections that wait for a descriptor at the shutdown are accepted before the listener closes

Cause: closing the listener accepts what waits only as far as descriptors are free; with a crowd none is. Change: the listener stays open and accepts as descriptors become free, until 0.3 s before requests are given up.

--- a/dahliabend/server/lifecycle.py
+++ b/dahliabend/server/lifecycle.py
@@ -7,8 +7,9 @@
    next response. Requests without a response `ANSWER_MARGIN` before SIGKILL is due are given up: rejected
    (503) if the client may safely send them again, failed (502) otherwise. New connections are accepted for
    `ACCEPT_PERIOD`; not at all if the listening socket is inherited, because a successor accepts from it.
-2. CLOSING: the connections in the listening socket's backlog are accepted (not from an inherited socket), and
-   the socket is closed. Idle client connections are closed every `CLIENT_CHECK_INTERVAL`.
+2. CLOSING: the connections in the listening socket's backlog are accepted (not from an inherited socket) as
+   descriptors become free, and the socket is closed. Idle client connections are closed every
+   `CLIENT_CHECK_INTERVAL`.
 3. STOPPED, once no client connection is left, and at the latest `CLIENT_CLOSE_TIMEOUT` after requests were
    given up: the server releases its resources, logs `server.stopped`, and the process exits with status 0.
 """
@@ -31,6 +32,7 @@
 KILL_MARGIN = 700_000
 ANSWER_MARGIN = 300_000  # the last responses are sent this long before SIGKILL is due
 ACCEPT_PERIOD = 500_000  # after SIGTERM; the platform opens new connections for up to 0.4 s
+MIN_TIME_FOR_ACCEPTED = 300_000  # before requests are given up; connections accepted later can't be served
 CLIENT_CHECK_INTERVAL = ANSWER_MARGIN // 30  # between two checks whether all clients have disconnected
 CLIENT_CLOSE_TIMEOUT = ANSWER_MARGIN // 2  # for clients to read the responses to requests that were given up
 
@@ -112,10 +114,16 @@
         server.timers.schedule(now + accept_period, self._close_listener)
 
     def _close_listener(self) -> None:
-        """Stop accepting clients."""
+        """Stop accepting clients once those that wait have been accepted, as long as they can be served."""
         self.state = ServerState.CLOSING
-        self.server.listener.close()
-        self._check_clients()
+        server = self.server
+        now = clock()
+        server.listener.close(force=now >= server.router.shutdown_deadline - MIN_TIME_FOR_ACCEPTED)
+        if server.listener.sock is None:
+            self._check_clients()
+        else:
+            server.close_idle_clients()
+            server.timers.schedule(now + CLIENT_CHECK_INTERVAL, self._close_listener)
 
     def _check_clients(self) -> None:
         """Stop if no client is left or the timeout has passed; otherwise check again after an interval."""
--- a/dahliabend/transport/listener.py
+++ b/dahliabend/transport/listener.py
@@ -25,6 +25,7 @@
     Attributes:
         sock: The listening socket, while it is open.
         shared: Whether other processes accept on the same socket.
+        is_short_of_descriptors: Whether connections may wait because no descriptor was left for them.
         accept_tasks: One task for each accepted connection that is not established yet.
     """
 
@@ -36,6 +37,7 @@
         self.make_connection = make_connection
         self.sock: socket.socket | None = None
         self.shared = False
+        self.is_short_of_descriptors = False
         self.accept_tasks: set[asyncio.Task[None]] = set()
 
     def open(self, address: tuple[str, int]) -> None:
@@ -76,6 +78,7 @@
             self.timers.loop.add_reader(self.sock.fileno(), self.accept_waiting)
 
     def _pause_accepting(self, sock: socket.socket) -> None:
+        self.is_short_of_descriptors = True
         self.timers.loop.remove_reader(sock.fileno())
         self.timers.schedule(clock() + RETRY_DELAY, self.start_accepting)
 
@@ -89,6 +92,7 @@
         if listening is None:
             return False
         began_at = clock()
+        self.is_short_of_descriptors = False
         for _ in range(MAX_ACCEPTS_AT_ONCE):
             # Idle connections are evicted first: waiting clients would otherwise miss their deadlines.
             if self.descriptors.is_full_after_eviction(clock()) and self.descriptors.is_exhausted():
@@ -125,18 +129,23 @@
                 with contextlib.suppress(OSError):
                     sock.close()
 
-    def close(self) -> None:
+    def close(self, *, force: bool = True) -> None:
         """Stop accepting.
 
         Connections that wait in the kernel's queue are still accepted, unless other processes share the
         socket and will accept them. Only this process's descriptor is closed: shutting the socket down would
         end it for all.
+
+        Args:
+            force: Whether the socket is closed even if connections wait that no descriptor is left for.
         """
         if self.sock is None:
             return
         # Closing the socket would lose the requests of clients that still wait in its queue.
         while not self.shared and self.accept_waiting():
             pass
+        if self.is_short_of_descriptors and not self.shared and not force:
+            return
         self.timers.loop.remove_reader(self.sock.fileno())
         self.sock.close()
         self.sock = None
--- a/tests/server/fake_draining_server.py
+++ b/tests/server/fake_draining_server.py
@@ -43,7 +43,9 @@
         self.max_request_time = 2_000_000
         self.router = SimpleNamespace(requests=[], shutdown_deadline=0, shut_down_by=self.shut_down_by)
         self.listener = SimpleNamespace(
-            shared=shared_listener, close=lambda: self.events.append("listener closed")
+            shared=shared_listener,
+            sock=None,  # as after `close`
+            close=lambda *, force: self.events.append("listener closed"),
         )
         self.lifecycle = Lifecycle(self, asyncio.new_event_loop())
 
