The time of a request runs from its arrival also if it waited to be accepted; more accepted at the end

Now TCP_INFO (tcpi_last_data_recv) tells how old the bytes are: at the first read of a connection, and after a turn of over 20 ms.

The listener stays open until 0.05 s before requests are given up, and connections that are slow to send their request are evicted earlier meanwhile: none is shut unread.

--- a/dahliabend/http/client_connection.py
+++ b/dahliabend/http/client_connection.py
@@ -70,6 +70,7 @@
         self.upload: StreamingBody | None = None
         self.response: StreamedResponse | None = None
         self.opened_at = clock()
+        self.may_have_waited = True  # the connection has waited to be accepted
         self.timeout_timer: Timer | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -153,7 +154,7 @@
         """Answer a request that could not be parsed."""
         self.state = SERVING
         self.keep_alive = False
-        self._classify(b"", self.parser.target.partition(b"?")[0], HeaderFields({}, b""))
+        self._classify(b"", self.parser.target.partition(b"?")[0], HeaderFields())
         self.send_error(self.parser.error_status)
 
     def _limit_begun_request(self) -> None:
--- a/dahliabend/http/headers.py
+++ b/dahliabend/http/headers.py
@@ -48,7 +48,8 @@
     Only the headers that the balancer itself reads are stored by name. `find` looks others up in the lines:
     a head may have thousands of them, and an object for each would need many times their bytes.
 
-    >>> fields = HeaderFields({b"x-item": b"7"}, b"X-Item: 7\r\nX-Plan: a\r\nx-plan: b\r\n")
+    >>> fields = HeaderFields({b"x-item": b"7"})
+    >>> fields.lines = b"X-Item: 7\r\nX-Plan: a\r\nx-plan: b\r\n"
     >>> fields.find(b"x-item"), fields.find(b"x-plan"), fields.find(b"plan")
     (b'7', b'b', b'')
 
@@ -56,9 +57,7 @@
         lines: The header lines that are not stored by name.
     """
 
-    def __init__(self, stored: dict[bytes, bytes], lines: bytes) -> None:
-        super().__init__(stored)
-        self.lines = lines
+    lines = b""
 
     def find(self, name: bytes) -> bytes:
         """Return the value of a header, given its name in lower case; empty if there is none."""
@@ -121,6 +120,9 @@
         return len(self.lines) + len(self.connection_header) + FIELD_BYTES * len(self.fields)
 
 
+NO_HEADERS = HeaderCollector()  # of a message that is over; nothing is added to it
+
+
 def requests_close(connection_header: bytes) -> bool:
     """Return whether a Connection header asks to close the connection after its message."""
     return b"close" in connection_header.lower()
--- a/dahliabend/http/request_parser.py
+++ b/dahliabend/http/request_parser.py
@@ -5,7 +5,7 @@
 import httptools
 
 from dahliabend.http import headers as wire
-from dahliabend.http.headers import HeaderCollector, HeaderFields
+from dahliabend.http.headers import NO_HEADERS, HeaderCollector, HeaderFields
 from dahliabend.http.responses import HTTP_1_1
 from dahliabend.http.streaming import BodySource, StreamingBody
 from dahliabend.transport.timers import MICROSECONDS_PER_SECOND, clock
@@ -119,7 +119,7 @@
     def fail(self, status: int) -> None:
         """Record the status of an error, unless there was one before, and drop what was received."""
         self.error_status = self.error_status or status
-        self.headers = HeaderCollector()
+        self.headers = NO_HEADERS
         self.body = bytearray()
 
     def discard(self) -> None:
@@ -242,7 +242,7 @@
             return
         if self.streaming_body is None:
             self._report_request(bytes(self.body))
-            self.headers = HeaderCollector()
+            self.headers = NO_HEADERS
             self.body = bytearray()
         else:
             self._feed_streaming_body(self.streaming_body)
@@ -260,7 +260,8 @@
         )
         headers = self.headers.forwarded_lines()
         all_lines = bytes(self.headers.lines) if self.headers.connection_header else headers
-        fields = HeaderFields(self.headers.fields, all_lines)
+        fields = HeaderFields(self.headers.fields)
+        fields.lines = all_lines
         method = self._http.get_method()
         self.receiver.request_received(
             ReceivedRequest(self.received_at, method, self.target, fields, headers, body, keep_alive)
--- a/dahliabend/http/upstream_connection.py
+++ b/dahliabend/http/upstream_connection.py
@@ -6,7 +6,7 @@
 
 from dahliabend.errors import ProtocolError
 from dahliabend.http import headers as wire
-from dahliabend.http.headers import HeaderCollector
+from dahliabend.http.headers import NO_HEADERS, HeaderCollector
 from dahliabend.http.streaming import BodySource, StreamingBody
 from dahliabend.transport.connection import Connection
 from dahliabend.transport.descriptor_budget import DescriptorBudget
@@ -129,7 +129,7 @@
         self.handler: ResponseHandler | None = None
         self.keep_alive = True
         self.parser: httptools.HttpResponseParser
-        self.headers = HeaderCollector()
+        self.headers = NO_HEADERS
         self.body = bytearray()
         self.unparsed_bytes = 0
         self.request_pending = False
@@ -353,7 +353,7 @@
 
     def _drop_response(self) -> None:
         """Drop what is buffered of the response."""
-        self.headers = HeaderCollector()
+        self.headers = NO_HEADERS
         self.body = bytearray()
 
     def buffered_bytes(self) -> int:
--- a/dahliabend/process_tests/rude_run.py
+++ b/dahliabend/process_tests/rude_run.py
@@ -59,6 +59,8 @@
         self.settings = settings
         self.listener = listener
         self.killed_at: list[float] = []
+        self.shutdowns: list[tuple[float, float]] = []  # their beginnings and latest ends
+        self.has_crowd = False
         self.balancer: PlatformBalancer
         self.predecessors: list[PlatformBalancer] = []
         self._connectable_until: float | None = None
@@ -110,6 +112,17 @@
         """Return whether an outright kill may have ended a request that was sent and ended at these times."""
         return any(sent_at - EXCUSE <= killed_at <= ended_at + EXCUSE for killed_at in self.killed_at)
 
+    def may_shut_unread(self, opened_at: float, ended_at: float) -> bool:
+        """Return whether a connection that was opened and ended at these times may have been shut unread.
+
+        "Idle clients fill the descriptors (new connections may be shut unread then)": in a shutdown beside a
+        crowd.
+        """
+        return self.has_crowd and any(
+            began_at <= ended_at <= over_at + EXCUSE and opened_at >= began_at - EXCUSE
+            for began_at, over_at in self.shutdowns
+        )
+
     def sound_clients(
         self, stop: asyncio.Event, seed: int = 0, patience: float = PATIENCE
     ) -> list[asyncio.Task[None]]:
--- a/dahliabend/process_tests/soak.py
+++ b/dahliabend/process_tests/soak.py
@@ -138,6 +138,7 @@
         if self.rng.random() >= CROWD_SHARE:
             return
         rng = Random(f"crowds {self.result.seed}")
+        self.environment.has_crowd = True
         for _ in range(rng.randint(1, MAX_CROWDS)):
             if stop.is_set():
                 return
@@ -175,7 +176,9 @@
 
     async def _terminate(self, balancer: PlatformBalancer) -> None:
         """Send SIGTERM several times, and end the process at the earliest moment."""
-        kill_at = time.monotonic() + self.result.deadline_ms / 1000 + KILL_MARGIN
+        began_at = time.monotonic()
+        kill_at = began_at + self.result.deadline_ms / 1000 + KILL_MARGIN
+        self.environment.shutdowns.append((began_at, kill_at))
         for _ in range(self.rng.randint(*SERIES)):
             balancer.send_signal(signal.SIGTERM)
             await asyncio.sleep(self.rng.uniform(*SERIES_PAUSE))
@@ -233,7 +236,8 @@
         )
         result.summary = (
             f"{dict(sorted(clients.statuses.items()))}, {len(clients.lost)} lost, {clients.late} late, "
-            f"slowest {clients.slowest:.2f} s, {clients.resent} resent, {clients.excused} excused by kills"
+            f"slowest {clients.slowest:.2f} s, {clients.resent} resent, {clients.excused} excused by kills, "
+            f"{clients.shut_unread} shut unread"
         )
 
 
--- a/dahliabend/process_tests/sound_clients.py
+++ b/dahliabend/process_tests/sound_clients.py
@@ -33,6 +33,7 @@
         late: Number of answers after the client's time, within `LATE_ALLOWANCE`.
         resent: Number of requests that crossed the close of their connection and were sent once more.
         refused_connections: Number of connections that could not be opened.
+        shut_unread: Number of new connections that ended unread in a shutdown beside a crowd.
         excused: Number of requests that an outright kill of the process may have ended.
         sent_at: Monotonic seconds at which each request without a long body was sent.
     """
@@ -44,6 +45,7 @@
     late: int = 0
     resent: int = 0
     refused_connections: int = 0
+    shut_unread: int = 0
     excused: int = 0
     sent_at: dict[str, float] = field(default_factory=dict)
 
@@ -97,6 +99,9 @@
     def is_excused(self, sent_at: float, ended_at: float) -> bool:
         """Return whether an outright kill may have ended a request that was sent and ended at these times."""
 
+    def may_shut_unread(self, opened_at: float, ended_at: float) -> bool:
+        """Return whether a connection may end unread that was opened and ended at these times."""
+
 
 class SoundClient:
     """One client, which sends one request at a time on a connection that it keeps."""
@@ -172,12 +177,20 @@
             sent_at = time.monotonic()
             self.record.sent_at.pop(trace_id, None)
             result = await self._exchange(message, sent_at)
+        if result is None and not is_reused and self._was_shut_unread(trace_id, sent_at):
+            self.record.shut_unread += 1
+            return
         is_unanswered = result is None or isinstance(result, str)
         if is_unanswered and self.environment.is_excused(sent_at, time.monotonic()):
             self.record.excused += 1
             return
         self._record(trace_id, result, time.monotonic() - sent_at)
 
+    def _was_shut_unread(self, trace_id: str, sent_at: float) -> bool:
+        """Return whether a new connection ended unread in a shutdown beside a crowd, as the pages allow."""
+        is_unsent = not self.executed.arrivals.get(trace_id)
+        return is_unsent and self.environment.may_shut_unread(sent_at, time.monotonic())
+
     def _message(self, trace_id: str) -> bytes:
         draw = self.rng.random()
         body = b""
--- a/dahliabend/server/lifecycle.py
+++ b/dahliabend/server/lifecycle.py
@@ -32,7 +32,7 @@
 KILL_MARGIN = 700_000
 ANSWER_MARGIN = 300_000  # the last responses are sent this long before SIGKILL is due
 ACCEPT_PERIOD = 500_000  # after SIGTERM; the platform opens new connections for up to 0.4 s
-MIN_TIME_FOR_ACCEPTED = 300_000  # before requests are given up; connections accepted later can't be served
+MIN_TIME_FOR_ACCEPTED = 50_000  # before requests are given up; of those accepted later none is read in time
 CLIENT_CHECK_INTERVAL = ANSWER_MARGIN // 30  # between two checks whether all clients have disconnected
 CLIENT_CLOSE_TIMEOUT = ANSWER_MARGIN // 2  # for clients to read the responses to requests that were given up
 
--- a/dahliabend/simulation/simulated_host.py
+++ b/dahliabend/simulation/simulated_host.py
@@ -26,6 +26,7 @@
     "read_file",
     "peer_has_closed",
     "resident_bytes",
+    "time_since_data",
 )
 
 
@@ -147,6 +148,10 @@
         end = sock.connected_end
         return end.fin_received or end.reset_received
 
+    def time_since_data(self, _sock: Socket) -> int:
+        """Return 0: not known."""
+        return 0
+
     def resident_bytes(self) -> int:
         """Return 0: simulated processes have no memory of their own."""
         return 0
--- a/dahliabend/transport/connection.py
+++ b/dahliabend/transport/connection.py
@@ -48,6 +48,7 @@
         is_transport_paused: Whether the transport has been told not to read.
         is_paused_for_turn: Whether that is so only until the input has been processed in a later turn.
         unprocessed_since: Clock time (us) since which received bytes may have waited; 0 if none wait.
+        may_have_waited: Whether the bytes of the next read may have come long before it.
         may_wait_in_kernel: Whether bytes may have waited in the kernel, because reading was paused.
         closed: Whether the connection is closed or being closed.
         close_reason: Why this process has closed it, if that is worth a note; else empty.
@@ -77,6 +78,7 @@
         self.is_transport_paused = False
         self.is_paused_for_turn = False
         self.unprocessed_since = 0
+        self.may_have_waited = False
         self.may_wait_in_kernel = False
         self.closed = False
         self.close_reason = ""
@@ -136,34 +138,39 @@
         self.last_input_at = now
         if self.unprocessed:
             self.unprocessed += view
-        elif self._must_wait:
+        elif self.parsing_blocked or self.reading_suspended:
             self.unprocessed += view
             self.unprocessed_since = self.unprocessed_since or now
         elif self.turn.has_time(now):
+            if self.may_have_waited or self.turn.was_long:
+                self._note_waiting_time(now)
             self._process(view, now)
         else:
+            if self.may_have_waited or self.turn.was_long:
+                self._note_waiting_time(now)
             self.unprocessed += view
             self.turn.defer(self)
         self._input_processed()
 
+    def _note_waiting_time(self, now: int) -> None:
+        """Note since when the bytes of a read may have waited: for the accept, or for a long turn to end."""
+        self.may_have_waited = False
+        if self.sock is not None and not self.unprocessed_since:
+            self.unprocessed_since = now - host_info.time_since_data(self.sock)
+
     def process_input(self) -> None:
         """Pass on received bytes unless they have to wait; while too many wait, pause reading."""
-        if self.unprocessed and not self._must_wait:
+        if self.unprocessed and not (self.parsing_blocked or self.reading_suspended or self.closed):
             waiting = self.unprocessed
             self.unprocessed = bytearray()
             self._process(memoryview(waiting), clock())
         self._input_processed()
 
-    @property
-    def _must_wait(self) -> bool:
-        """Whether received bytes must not be passed on now."""
-        return self.parsing_blocked or self.reading_suspended or self.closed
-
     def _process(self, view: memoryview, began_at: int) -> None:
         """Pass on bytes in steps, and defer the rest once the connection's share of the turn is used up."""
         position = 0
         size = len(view)
-        while not self._must_wait:
+        while not (self.parsing_blocked or self.reading_suspended or self.closed):
             step = size - position
             if step > MIN_STEP:
                 step = min(step, self.input_step())
@@ -194,7 +201,11 @@
             self.transport.resume_reading()
         if waiting or self.unprocessed_since:
             self._update_waiting_time()
-        self.update_account()
+        held = 0 if self.transport is None else self.buffered_bytes()  # as `update_account`, without its call
+        if held != self.held_bytes:
+            self.memory.set_held(self, held)
+        if self.memory.held > self.memory.high_water:
+            self.memory.relieve_if_needed()
 
     def update_account(self) -> None:
         """Set what the connection holds on the account, and make room if too much is held in all."""
--- a/dahliabend/transport/host_info.py
+++ b/dahliabend/transport/host_info.py
@@ -7,6 +7,7 @@
 import os
 import select
 import socket
+import struct
 import time
 from pathlib import Path
 
@@ -17,6 +18,9 @@
 process_id = os.getpid
 runtime_directory = RuntimeDirectory  # called with a path
 
+_LAST_DATA = struct.Struct("I")  # tcpi_last_data_recv, in milliseconds
+_LAST_DATA_OFFSET = 52  # in struct tcp_info
+_MICROSECONDS_PER_MILLISECOND = 1_000
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 _RESIDENT_FIELD = 1  # of /proc/self/statm, in pages
 
@@ -47,6 +51,17 @@
     return bool(poll.poll(0))
 
 
+def time_since_data(sock: socket.socket) -> int:
+    """Return how long ago (us) a TCP socket last received data, or its connection; 0 if it is not known."""
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_DATA_OFFSET + _LAST_DATA.size)
+    except OSError:
+        return 0
+    if len(info) < _LAST_DATA_OFFSET + _LAST_DATA.size:
+        return 0
+    return int(_LAST_DATA.unpack_from(info, _LAST_DATA_OFFSET)[0]) * _MICROSECONDS_PER_MILLISECOND
+
+
 def resident_bytes() -> int:
     """Return the resident memory of this process; 0 if the system does not tell."""
     try:
--- a/dahliabend/transport/listener.py
+++ b/dahliabend/transport/listener.py
@@ -13,6 +13,9 @@
 BACKLOG = 1024  # connections that may wait in the kernel's queue
 MAX_ACCEPTS_AT_ONCE = 64  # connections accepted before other events are handled
 MAX_ACCEPT_TIME = 4_000  # microseconds spent on accepting before other events are handled
+# Microseconds by which connections that are slow to send their request are evicted earlier at the end, for
+# those that wait.
+EARLIER_EVICTION = 250_000
 RETRY_DELAY = 5_000  # microseconds until the next attempt to accept, if no descriptor is left
 
 
@@ -26,6 +29,7 @@
         sock: The listening socket, while it is open.
         shared: Whether other processes accept on the same socket.
         is_short_of_descriptors: Whether connections may wait because no descriptor was left for them.
+        is_closing: Whether the listener is to be closed once no connection waits.
         accept_tasks: One task for each accepted connection that is not established yet.
     """
 
@@ -38,6 +42,7 @@
         self.sock: socket.socket | None = None
         self.shared = False
         self.is_short_of_descriptors = False
+        self.is_closing = False
         self.accept_tasks: set[asyncio.Task[None]] = set()
 
     def open(self, address: tuple[str, int]) -> None:
@@ -95,7 +100,8 @@
         self.is_short_of_descriptors = False
         for _ in range(MAX_ACCEPTS_AT_ONCE):
             # Idle connections are evicted first: waiting clients would otherwise miss their deadlines.
-            if self.descriptors.is_full_after_eviction(clock()) and self.descriptors.is_exhausted():
+            now = clock() + (EARLIER_EVICTION if self.is_closing else 0)
+            if self.descriptors.is_full_after_eviction(now) and self.descriptors.is_exhausted():
                 self._pause_accepting(listening)
                 return False
             try:
@@ -141,6 +147,7 @@
         """
         if self.sock is None:
             return
+        self.is_closing = True
         # Closing the socket would lose the requests of clients that still wait in its queue.
         while not self.shared and self.accept_waiting():
             pass
--- a/dahliabend/transport/turn_budget.py
+++ b/dahliabend/transport/turn_budget.py
@@ -9,6 +9,7 @@
 # Microseconds.
 TURN_TIME = 5_000  # of processing input in one turn, for all connections together
 CONNECTION_TIME = 1_000  # of that, for one connection
+LONG_TURN = 20_000
 MAX_WAIT = 100_000  # until a connection that waits is due, however much processing time it has had
 WAIT_PER_ATTAINED = 32  # by what multiple of its processing time a connection is due later
 
@@ -38,6 +39,7 @@
     Attributes:
         receive_area: The buffer of all reads.
         is_over: Whether the time of this turn is used up.
+        was_long: Whether the last turn with input was so long that input has waited for it.
         longest_turn: Longest time (us) between the beginnings of two turns with input, since `take_longest`.
         deferred: The connections that wait, each with the clock time (us) from which it is due.
     """
@@ -52,6 +54,7 @@
         self.receive_area = memoryview(bytearray(RECEIVE_AREA_BYTES))
         self.is_over = False
         self.longest_turn = 0
+        self.was_long = False
         self.deferred: dict[InputProcessor, int] = {}
         self._began_at = 0
         self._is_running = False  # whether the end of the turn is scheduled
@@ -89,7 +92,9 @@
     def _next_turn(self) -> None:
         """Begin the next turn with the connections that wait."""
         now = clock()
-        self.longest_turn = max(self.longest_turn, now - self._began_at)
+        duration = now - self._began_at
+        self.was_long = duration > LONG_TURN
+        self.longest_turn = max(self.longest_turn, duration)
         self._is_running = False
         if not self.deferred:
             self.is_over = False
