Requests that take long to receive are given up while others wait for a descriptor; log and list in the account

Paths of the same class as the memory limit: lines of the log that nobody reads (1 MiB, now a sixteenth of the capacity), the list's unfinished line (8 MiB, now half of the capacity, 1 MiB at least), and each process of an upgrade has half of the limit.

--- a/dahliabend/discovery/watch_connection.py
+++ b/dahliabend/discovery/watch_connection.py
@@ -10,6 +10,7 @@
 from dahliabend.transport.descriptor_budget import DescriptorBudget
 
 MAX_LINE_BYTES = 8 * 1024 * 1024
+MIN_LINE_LIMIT = 1024 * 1024  # bytes that a line may have however little memory there is
 STATUS_OK = 200
 
 
@@ -78,7 +79,7 @@
             if line:  # an empty line is a heartbeat
                 self.endpoint_list.apply(orjson.loads(line), self.awaits_first_message)
                 self.awaits_first_message = False
-        if len(self.partial_line) > MAX_LINE_BYTES:
+        if len(self.partial_line) > max(MIN_LINE_LIMIT, min(MAX_LINE_BYTES, self.memory.capacity // 2)):
             raise ValueError("too long a line")
 
     def buffered_bytes(self) -> int:
--- a/dahliabend/http/client_connection.py
+++ b/dahliabend/http/client_connection.py
@@ -21,7 +21,9 @@
 # Microseconds.
 REQUEST_TIMEOUT = 2_500_000  # for receiving a request, the first one counted from accepting; not over 3 s
 SLOW_REQUEST_AGE = REQUEST_TIMEOUT // 8  # from this age on, an incomplete request can be evicted
+MIN_UPLOAD_TIME = 1_000_000  # from which age on a streamed body is given up if clients wait for a descriptor
 STREAM_TIMEOUT_FACTOR = 4  # write timeouts in which the rest of a streamed response has to be sent
+MIN_LINGER_TIME = 100_000  # for a client that goes on sending, if others wait for a descriptor
 LINGER_DIVISOR = 4  # of the write timeout: time for the client to close after the final response
 RELIEF_GRACE = 100_000  # without a byte, until an incomplete request or an unread response counts as slow
 
@@ -51,6 +53,7 @@
         response: The response to that request, if it is streamed.
         opened_at: Clock time (us) of accepting, so that a connection whose transport is not connected yet is
             not taken for idle; 0 from the first response on.
+        evictable_from: Clock time (us) from which a lingering connection can be evicted with input unread.
         timeout_timer: Fires when the time for receiving a request, sending a response or lingering is over.
     """
 
@@ -70,6 +73,7 @@
         self.upload: StreamingBody | None = None
         self.response: StreamedResponse | None = None
         self.opened_at = clock()
+        self.evictable_from = 0
         self.may_have_waited = True  # the connection has waited to be accepted
         self.timeout_timer: Timer | None = None
 
@@ -106,6 +110,7 @@
     def streaming_body_received(self, body: StreamingBody) -> None:
         """Cancel the time limit of the current upload, which has been received in full."""
         if body is self.upload:
+            self.descriptors.mark_busy(self.handle)
             self.timers.cancel(self.timeout_timer)
 
     # Requests
@@ -161,6 +166,9 @@
         """Set the time limit for receiving a request that has begun, unless one is set."""
         if self._is_serving and self.upload is None:
             return
+        if self.handle not in self.descriptors.receiving:
+            begun_at = self.parser.begun_at
+            self.descriptors.mark_receiving(self.handle, self, begun_at, begun_at + SLOW_REQUEST_AGE)
         if self.timeout_timer is None or not self.timeout_timer.is_pending:
             self.limit_request_time(self.parser.begun_at)  # else it would hold its descriptor forever
 
@@ -209,6 +217,8 @@
             self.upload = None
             return bytes(body.beginning)
         self.upload = body
+        now = clock()
+        self.descriptors.mark_receiving(self.handle, self, now, now + MIN_UPLOAD_TIME)
         return b""
 
     def _answer_readiness_check(self) -> None:
@@ -271,6 +281,7 @@
 
     def _discard_upload(self) -> None:
         """Drop the upload; if it is incomplete, close the connection after the response."""
+        self.descriptors.receiving.pop(self.handle, None)
         if self.upload is not None and not self.upload.is_complete:
             self.keep_alive = False  # the rest of an answered body has no use: its end is not waited for
             self.parser.fail(413)
@@ -404,12 +415,24 @@
         if self.write_paused:
             self.reset(OUT_OF_MEMORY)
             self.drop_output()
+        else:
+            self.reject_incomplete()
+
+    def reject_incomplete(self) -> None:
+        """Reject the request that is being received, unless its response has begun."""
+        self.descriptors.receiving.pop(self.handle, None)
+        if self.closed or not self._is_receiving_request:
             return
         self.dispatcher.request_shed(self.parser.target, self.held_bytes)
         self.parser.fail(503)
         self.serve_next()
         self.update_output_account()
 
+    @property
+    def received_bytes(self) -> int:
+        """Bytes of the head or the body of the request that is being received."""
+        return self.parser.section_bytes
+
     # Timeouts and closing
 
     def linger(self) -> None:
@@ -419,6 +442,7 @@
         make the kernel discard the response unread. A lingering connection can be evicted like an idle one.
         """
         self.state = LINGERING
+        self.evictable_from = clock() + MIN_LINGER_TIME
         self.parser.error_status = 0
         self.parser.discard()
         self.unprocessed = bytearray()
@@ -449,7 +473,12 @@
             self.serve_next()
 
     def can_evict(self) -> bool:
-        """Return whether closing the connection loses no request, received or unread."""
+        """Return whether closing the connection loses no request, received or unread.
+
+        What comes after the final response is none; the client only has to have had time to read that.
+        """
+        if self.state is LINGERING and clock() >= self.evictable_from:
+            return True
         return not (self._is_serving or self.queue or self.unread_input())
 
     def close_if_idle(self, opened_before: int) -> None:
--- a/dahliabend/server/log.py
+++ b/dahliabend/server/log.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-MAX_BUFFERED_BYTES = 1 << 20  # while more is buffered, new lines are dropped
+MAX_BUFFERED_BYTES = 1 << 20  # of lines that the reader has not taken yet
 WRITE_RETRY_DELAY = 0.1  # seconds until the next attempt to write to a full pipe
 STANDARD_ERROR = 2
 
@@ -36,6 +36,7 @@
         verbose: Whether `debug` logs events.
         sink: The file descriptor that lines are written to.
         lines: The lines that have not been written yet.
+        max_buffered_bytes: While more is buffered, new lines are dropped.
         lost_lines: The number of lines dropped since the last one that was kept.
         loop: The event loop that writes lines; None if they are written at once.
         write_scheduled: Whether the event loop has a pending call of `write`.
@@ -53,6 +54,7 @@
         self.verbose = verbose
         self.sink = sink
         self.lines = bytearray()
+        self.max_buffered_bytes = MAX_BUFFERED_BYTES
         self.lost_lines = 0
         self.loop: asyncio.AbstractEventLoop | None = None
         self.write_scheduled = False
@@ -75,7 +77,7 @@
 
     def put(self, line: bytes) -> None:
         """Append an encoded line to the buffer, or count it as lost if the buffer is full."""
-        if len(self.lines) > MAX_BUFFERED_BYTES:
+        if len(self.lines) > self.max_buffered_bytes:
             self.lost_lines += 1
             return
         if self.lost_lines:
--- a/dahliabend/server/memory_guard.py
+++ b/dahliabend/server/memory_guard.py
@@ -2,7 +2,7 @@
 
 import gc
 
-from dahliabend.server.log import EventLog
+from dahliabend.server.log import MAX_BUFFERED_BYTES, Log
 from dahliabend.transport import host_info
 from dahliabend.transport.descriptor_budget import DescriptorBudget
 from dahliabend.transport.memory_budget import MemoryBudget
@@ -14,6 +14,7 @@
 MIN_MARGIN = 3 * MEGABYTE // 2  # bytes
 MIN_CAPACITY = MEGABYTE  # bytes for peers, however little the limit leaves
 EMERGENCY_FRACTION = 1 / 4  # of the capacity, which is aimed at when the process comes close to its limit
+LOG_DIVISOR = 16  # lines that nobody reads may take this part of the capacity
 FULL_SHARE = 1.0
 
 
@@ -37,7 +38,7 @@
         memory: MemoryBudget,
         descriptors: DescriptorBudget,
         timers: TimerQueue,
-        log: EventLog,
+        log: Log,
     ) -> None:
         self.limit = limit
         self.memory = memory
@@ -77,6 +78,7 @@
         capacity = int(self.limit * self.share) - self.baseline - self.margin
         self.memory.set_capacity(max(MIN_CAPACITY, capacity))
         self.descriptors.apply_limit()
+        self.log.max_buffered_bytes = min(MAX_BUFFERED_BYTES, self.memory.capacity // LOG_DIVISOR)
 
     def _check(self) -> None:
         """Read the resident memory; close to the limit, make holders give up most of what they hold."""
--- a/dahliabend/server/platform_server.py
+++ b/dahliabend/server/platform_server.py
@@ -80,7 +80,9 @@
         if not shared_directory:
             return None
         directory = HotRestart(shared_directory, self.log)
-        return ProcessTakeover(directory, self.router, self.descriptors, self.timers, self.log)
+        return ProcessTakeover(
+            directory, self.router, self.descriptors, self.memory_guard, self.timers, self.log
+        )
 
     # Start and shutdown
 
--- a/dahliabend/server/process_takeover.py
+++ b/dahliabend/server/process_takeover.py
@@ -10,6 +10,7 @@
 from dahliabend.proxy.router import Router
 from dahliabend.server.hot_restart import HotRestart, ProcessKey
 from dahliabend.server.log import EventLog
+from dahliabend.server.memory_guard import MemoryGuard
 from dahliabend.transport.descriptor_budget import DescriptorBudget
 from dahliabend.transport.timers import TimerQueue, clock
 
@@ -18,7 +19,7 @@
 STATE_CHECKS_PER_INTERVAL = 4  # checks for the state in each CHECK_INTERVAL of that wait
 MICROSECONDS_PER_SECOND = 1e6
 FULL_SHARE = 1.0
-SHARE_BESIDE_ANOTHER = 1 / 2  # of the descriptors: system limits count both processes as one balancer
+SHARE_BESIDE_ANOTHER = 1 / 2  # of descriptors and memory: system limits count both processes as one balancer
 
 
 class ProcessTakeover:
@@ -33,12 +34,14 @@
         directory: HotRestart,
         router: Router,
         descriptors: DescriptorBudget,
+        memory_guard: MemoryGuard,
         timers: TimerQueue,
         log: EventLog,
     ) -> None:
         self.directory = directory
         self.router = router
         self.descriptors = descriptors
+        self.memory_guard = memory_guard
         self.timers = timers
         self.log = log
         self._predecessors: list[ProcessKey] = []
@@ -116,7 +119,9 @@
         if shared == self._descriptors_shared:
             return
         self._descriptors_shared = shared
-        self.descriptors.set_share(SHARE_BESIDE_ANOTHER if shared else FULL_SHARE)
+        share = SHARE_BESIDE_ANOTHER if shared else FULL_SHARE
+        self.descriptors.set_share(share)
+        self.memory_guard.set_share(share)
 
     def _share_executed_requests(self, live: set[ProcessKey]) -> None:
         """Look at the requests that other processes may have run, for some time after their end as well."""
--- a/dahliabend/server/runner.py
+++ b/dahliabend/server/runner.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import gc
+import signal
 from collections.abc import Callable
 from typing import Protocol
 
 from dahliabend.server.log import Log
 
+TERMINATION_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 
 class RunnableServer(Protocol):
     """A server that can be run until it has stopped."""
@@ -39,3 +42,6 @@
     gc.freeze()
     await server.start()
     await server.end()
+    # The event loop removes its signal handlers when it ends: a late signal would then end the process with a
+    # status other than 0.
+    signal.pthread_sigmask(signal.SIG_BLOCK, TERMINATION_SIGNALS)
--- a/dahliabend/transport/connection.py
+++ b/dahliabend/transport/connection.py
@@ -7,19 +7,19 @@
 from typing import cast
 
 from dahliabend.transport import host_info
+from dahliabend.transport.buffered_output import BufferedOutput
 from dahliabend.transport.descriptor_budget import DescriptorBudget
 from dahliabend.transport.timers import clock
 from dahliabend.transport.turn_budget import CONNECTION_TIME, RECEIVE_AREA_BYTES
 
 MIN_STEP = 1024  # bytes; fewer are passed on at once in any case
-WRITE_BYTES = 8192  # passed to the transport at once
 # Bytes. Without a limit the kernel's buffer grows to megabytes. Bytes in it count as written, so a peer that
 # reads slowly would seem to make no progress while the buffer is emptied.
 KERNEL_SEND_BUFFER_SIZE = 256 * 1024
 _LINGER_WITH_RESET = struct.pack("ii", 1, 0)  # SO_LINGER: enabled, with a timeout of 0 s
 
 
-class Connection(asyncio.BufferedProtocol):
+class Connection(BufferedOutput, asyncio.BufferedProtocol):
     """Reads from and writes to a socket, with backpressure in both directions.
 
     Subclasses give the bytes a meaning by overriding `bytes_received`, `output_flushed`, `transport_paused`
@@ -31,18 +31,10 @@
         handle: Handle of this connection in the descriptor budget.
         memory: The account of what is buffered.
         turn: Divides the event loop's time among the connections.
-        held_bytes: Bytes on the account for this connection.
         attained_time: Processing time (us) since no input was left.
         last_input_at: Clock time (us) of the last read.
         unprocessed: Bytes that were received and not yet passed to `bytes_received`.
         has_more_input: Whether more input follows the bytes that are being processed.
-        pending: Pieces to write that the kernel has not taken entirely.
-        pending_offset: Bytes of the first pending piece that the kernel has taken.
-        unsent_bytes: Bytes of the pending pieces that the kernel has not taken yet.
-        bytes_in_transport: Bytes of the pending pieces that the transport has not finished writing.
-        write_paused: Whether the transport has more bytes than it can write.
-        write_paused_at: Clock time (us) at which that was last found.
-        write_failed: Whether the kernel refused a write.
         parsing_blocked: Whether received bytes have to wait until earlier requests are answered.
         reading_suspended: Whether reading is stopped because the receiver of the bytes is slower.
         is_transport_paused: Whether the transport has been told not to read.
@@ -50,29 +42,20 @@
         unprocessed_since: Clock time (us) since which received bytes may have waited; 0 if none wait.
         may_have_waited: Whether the bytes of the next read may have come long before it.
         may_wait_in_kernel: Whether bytes may have waited in the kernel, because reading was paused.
-        closed: Whether the connection is closed or being closed.
         close_reason: Why this process has closed it, if that is worth a note; else empty.
-        transport: The transport; None before the connection is established and after it is lost.
         sock: The socket; None before it is connected, and after the connection is lost or reset.
     """
 
     def __init__(self, descriptors: DescriptorBudget) -> None:
+        super().__init__()
         self.descriptors = descriptors
         self.memory = descriptors.memory
         self.turn = descriptors.turn
         self.handle = descriptors.register(self)
-        self.held_bytes = 0
         self.attained_time = 0
         self.last_input_at = 0
         self.unprocessed = bytearray()
         self.has_more_input = False
-        self.pending: list[bytes | bytearray] = []
-        self.pending_offset = 0
-        self.unsent_bytes = 0
-        self.bytes_in_transport = 0
-        self.write_paused = False
-        self.write_paused_at = 0
-        self.write_failed = False
         self.parsing_blocked = False
         self.reading_suspended = False
         self.is_transport_paused = False
@@ -80,9 +63,7 @@
         self.unprocessed_since = 0
         self.may_have_waited = False
         self.may_wait_in_kernel = False
-        self.closed = False
         self.close_reason = ""
-        self.transport: asyncio.Transport | None = None
         self.sock: socket.socket | None = None
 
     # Methods that subclasses override
@@ -90,9 +71,6 @@
     def bytes_received(self, view: memoryview) -> None:
         """Process received bytes; the view is valid during the call only."""
 
-    def output_flushed(self) -> None:
-        """Handle the completed write of all bytes to the kernel."""
-
     def transport_paused(self) -> None:
         """Handle a pause in reading."""
 
@@ -254,82 +232,6 @@
             self.reading_suspended = False
             self.process_input()
 
-    # Writing
-
-    @property
-    def is_flushed(self) -> bool:
-        """Whether the kernel has taken all written bytes."""
-        return not (self.pending or self.write_failed)
-
-    def write(self, *pieces: bytes) -> None:
-        """Send the pieces in order; the large ones are not copied as a whole."""
-        size = sum(map(len, pieces))
-        self.unsent_bytes += size
-        if size > WRITE_BYTES:
-            self.pending.extend(piece for piece in pieces if piece)
-        elif size:
-            self._append_small(b"".join(pieces))
-        self.flush_pending()
-
-    def _append_small(self, data: bytes) -> None:
-        """Append a small piece; while writing is paused, small pieces are merged into one object."""
-        if not self.write_paused:
-            self.pending.append(data)
-            return
-        last = self.pending[-1] if len(self.pending) > 1 else None  # the transport may read the first one
-        if isinstance(last, bytearray) and len(last) < WRITE_BYTES:
-            last += data
-        else:
-            self.pending.append(bytearray(data))
-
-    def flush_pending(self) -> None:
-        """Pass pending pieces to the kernel, as far as it takes them."""
-        while not self.write_paused and not self.closed and self.transport is not None:
-            if not self.pending:
-                self.output_flushed()
-                if self.held_bytes:
-                    self.update_output_account()
-                return
-            data = self._next_output()
-            self.transport.write(data)
-            if self.transport.is_closing():
-                self.write_failed = True  # the kernel refused the write
-                return
-            if self.write_paused:
-                self.bytes_in_transport = len(data)
-                self.update_output_account()
-                return
-            self._output_written(len(data))
-
-    def _next_output(self) -> bytes | memoryview:
-        """Return the next bytes to write, small pieces joined."""
-        first = memoryview(self.pending[0])[self.pending_offset : self.pending_offset + WRITE_BYTES]
-        if len(first) == WRITE_BYTES or len(self.pending) == 1:
-            return first
-        parts: list[bytes | bytearray | memoryview] = [first]
-        space = WRITE_BYTES - len(first)
-        for piece in self.pending[1:]:
-            parts.append(memoryview(piece)[:space])
-            space -= len(parts[-1])
-            if not space:
-                break
-        return b"".join(parts)
-
-    def _output_written(self, count: int) -> None:
-        """Remove bytes that the kernel has taken from the pending pieces."""
-        self.unsent_bytes -= count
-        self.pending_offset += count
-        while self.pending and self.pending_offset >= len(self.pending[0]):
-            self.pending_offset -= len(self.pending.pop(0))
-
-    def drop_output(self) -> None:
-        """Drop what has not been sent, after the connection has been closed."""
-        self.pending = []
-        self.pending_offset = 0
-        self.unsent_bytes = 0
-        self.bytes_in_transport = 0
-        self.update_output_account()
-
     def update_output_account(self) -> None:
         """Set what the connection holds on the account after a write that the kernel has not taken.
 
@@ -339,19 +241,6 @@
         if held != self.held_bytes:
             self.memory.set_held(self, held)
 
-    def pause_writing(self) -> None:
-        """Note that the transport could not write all bytes at once."""
-        self.write_paused = True
-        self.write_paused_at = clock()
-
-    def resume_writing(self) -> None:
-        """Continue writing, as the transport has written all its bytes."""
-        self.write_paused = False
-        self._output_written(self.bytes_in_transport)
-        self.bytes_in_transport = 0
-        self.flush_pending()
-        self.update_account()
-
     # Closing
 
     def eof_received(self) -> bool:
--- a/dahliabend/transport/descriptor_budget.py
+++ b/dahliabend/transport/descriptor_budget.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from itertools import chain, islice
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from dahliabend.transport.handles import NO_HANDLE, HandleTable
 from dahliabend.transport.memory_budget import CONNECTION_BYTES, MemoryBudget
@@ -14,6 +14,7 @@
 MIN_RESERVE = 8
 MIN_CONNECTIONS = 64  # however little memory there is
 MAX_EVICTION_TRIES = 16  # connections looked at for one that is needed; each look costs a system call
+GIVE_UP_INTERVAL = 2_000  # microseconds between two requests that are given up for want of descriptors
 EVICTED = "evicted"  # reason for the log
 
 
@@ -27,6 +28,25 @@
         """Close the connection at once; `reason` is for the log."""
 
 
+class RequestReceiver(Protocol):
+    """A connection on which a request has begun and is not complete."""
+
+    @property
+    def received_bytes(self) -> int:
+        """Bytes of the request's current section that have been received."""
+
+    def reject_incomplete(self) -> None:
+        """Answer that the request is rejected; no upstream has all of it."""
+
+
+class IncompleteRequest(NamedTuple):
+    """A request that is being received, since when, and from when on it may be given up (us, clock time)."""
+
+    connection: RequestReceiver
+    begun_at: int
+    give_up_from: int
+
+
 class DescriptorBudget:
     """Counts one descriptor per connection, from `register` until `release`; only `release` frees it.
 
@@ -49,6 +69,7 @@
         idle: By handle, the clock time (us) since which a connection is idle; the oldest first.
         slow_after: By handle, the clock time (us) from which a connection that is receiving a request counts
             as slow.
+        receiving: By handle, the requests that have begun and are not complete.
         closed_by_reason: Number of connections that this process has closed, by the reason that it noted.
         evicting: Handles of connections that were evicted and are not closed yet.
         share: Fraction of the descriptors that this process may use.
@@ -74,6 +95,8 @@
         self.connections: HandleTable[ManagedConnection] = HandleTable(limit - PROCESS_DESCRIPTORS)
         self.idle: dict[int, int] = {}
         self.slow_after: dict[int, int] = {}
+        self.receiving: dict[int, IncompleteRequest] = {}
+        self._next_give_up = 0
         self.evicting: set[int] = set()
         self.closed_by_reason: Counter[str] = Counter()
         self.reserve = max(MIN_RESERVE, round(limit * RESERVE_FRACTION))
@@ -161,6 +184,25 @@
         """Record that the connection is in use, so that it is not evicted."""
         self.idle.pop(handle, None)
         self.slow_after.pop(handle, None)
+        self.receiving.pop(handle, None)
+
+    def mark_receiving(
+        self, handle: int, connection: RequestReceiver, begun_at: int, give_up_from: int
+    ) -> None:
+        """Record that a request has begun and is not complete, and from when on it may be given up."""
+        self.receiving[handle] = IncompleteRequest(connection, begun_at, give_up_from)
+
+    def give_up_incomplete(self, now: int) -> None:
+        """Reject the slowest of the requests that take long to receive, as clients wait for a descriptor."""
+        if now < self._next_give_up:
+            return
+        long = [
+            request for request in self.receiving.values() if request.give_up_from <= now > request.begun_at
+        ]
+        if long:
+            self._next_give_up = now + GIVE_UP_INTERVAL
+            slowest = min(long, key=lambda each: each.connection.received_bytes / (now - each.begun_at))
+            slowest.connection.reject_incomplete()
 
     def idle_since(self, before: int) -> list[ManagedConnection]:
         """Return the connections that became idle before clock time `before`, oldest first."""
--- a/dahliabend/transport/listener.py
+++ b/dahliabend/transport/listener.py
@@ -102,6 +102,7 @@
             # Idle connections are evicted first: waiting clients would otherwise miss their deadlines.
             now = clock() + (EARLIER_EVICTION if self.is_closing else 0)
             if self.descriptors.is_full_after_eviction(now) and self.descriptors.is_exhausted():
+                self.descriptors.give_up_incomplete(clock())
                 self._pause_accepting(listening)
                 return False
             try:
--- a/tests/http/test_upstream_connection.py
+++ b/tests/http/test_upstream_connection.py
@@ -7,7 +7,7 @@
 from fake_transport import feed
 
 from dahliabend.model import Outcome
-from dahliabend.transport.connection import WRITE_BYTES
+from dahliabend.transport.buffered_output import WRITE_BYTES
 from dahliabend.transport.timers import clock
 
 
--- a/tests/transport/test_descriptor_budget.py
+++ b/tests/transport/test_descriptor_budget.py
@@ -8,7 +8,7 @@
 from helpers import S
 
 from dahliabend.http.client_connection import ClientConnection
-from dahliabend.transport.descriptor_budget import DescriptorBudget
+from dahliabend.transport.descriptor_budget import GIVE_UP_INTERVAL, DescriptorBudget
 from dahliabend.transport.timers import clock
 
 
@@ -39,3 +39,32 @@
         assert not budget.is_full_after_eviction(clock() + S)  # it counts as slow by then
         assert new_client.closed
         assert not client_with_unread_request.closed
+
+
+class Receiver:
+    """A connection on which a request is being received."""
+
+    def __init__(self, received_bytes, rejected):
+        self.received_bytes, self.rejected = received_bytes, rejected
+
+    def reject_incomplete(self):
+        self.rejected.append(self)
+
+
+# Guards against a fault found by the soak of issue 60 (seed 252): clients that send their requests at a pace
+# that nothing ends held all descriptors.
+def test_the_slowest_request_that_takes_long_to_receive_is_given_up_one_at_a_time():
+    budget, rejected = DescriptorBudget(100), []
+    slow, fast, recent = Receiver(10, rejected), Receiver(1_000, rejected), Receiver(0, rejected)
+    budget.mark_receiving(1, fast, 0, 300)
+    budget.mark_receiving(2, slow, 0, 300)
+    budget.mark_receiving(3, recent, 0, 5_000)
+    budget.give_up_incomplete(299)
+    assert rejected == []
+    budget.give_up_incomplete(300)
+    assert rejected == [slow]
+    budget.mark_busy(2)
+    budget.give_up_incomplete(301)
+    assert rejected == [slow]
+    budget.give_up_incomplete(300 + GIVE_UP_INTERVAL)
+    assert rejected == [slow, fast]
