An id is free once its client has the response; turns are watched only while input comes without gaps

Now a response counts as had if the client goes on, or ends in order with nothing unsent and no reset: it resets if it closes with a part unread.

The call in each next turn made the event loop turn once more for each read: 11% CPU for a request.

--- a/dahliabend/http/client_connection.py
+++ b/dahliabend/http/client_connection.py
@@ -11,6 +11,7 @@
 from dahliabend.http.responses import CONNECTION_CLOSE, CONTINUE, Framing, StreamedResponse, response_head
 from dahliabend.http.serving_state import FLUSHING, LINGERING, SERVING, WAITING, ServingState
 from dahliabend.http.streaming import BodySource, StreamingBody
+from dahliabend.transport import host_info
 from dahliabend.transport.connection import MIN_STEP
 from dahliabend.transport.descriptor_budget import DescriptorBudget
 from dahliabend.transport.disconnect_detection import CLIENT_LEFT, DisconnectDetectingConnection
@@ -48,6 +49,8 @@
         keep_alive: Whether the connection stays open after the current response.
         request_handle: Handle of the request that is being served; `NO_HANDLE` if the dispatcher has none.
         class_name: Name of that request's class until its response is sent; empty if the class is unknown.
+        unconfirmed_id: Trace id of the last request that may not run again and whose response has been sent;
+            empty once the client is known to have it.
         on_request_finished: Called when the response is sent or the connection closed; set by the dispatcher.
         upload: The body of that request, if it is still being received.
         response: The response to that request, if it is streamed.
@@ -69,6 +72,7 @@
         self.keep_alive = False
         self.request_handle = NO_HANDLE
         self.class_name = b""
+        self.unconfirmed_id = b""
         self.on_request_finished: Callable[[], object] | None = None
         self.upload: StreamingBody | None = None
         self.response: StreamedResponse | None = None
@@ -174,6 +178,8 @@
 
     def start_request(self, request: ReceivedRequest) -> None:
         """Answer a request, or pass it to the dispatcher."""
+        if self.unconfirmed_id:
+            self._settle_response(has_response=True)
         self.keep_alive = request.keep_alive
         body = request.body
         if isinstance(body, StreamingBody):
@@ -368,6 +374,22 @@
             super().process_input()
             self.attained_time += clock() - began_at
 
+    def _settle_response(self, *, has_response: bool) -> None:
+        """Note whether the client has the last response."""
+        trace_id = self.unconfirmed_id
+        self.unconfirmed_id = b""
+        self.dispatcher.response_settled(trace_id, has_response=has_response)
+
+    def has_response(self) -> bool:
+        """Return whether the client may have the last response: it has not reset the connection."""
+        return not self.closed and self.sock is not None and not host_info.peer_has_reset(self.sock)
+
+    def eof_received(self) -> bool:
+        """Note that the client has the last response: with a part of it unread, it would reset."""
+        if self.unconfirmed_id and not self.unsent_bytes and self.has_response():
+            self._settle_response(has_response=True)
+        return super().eof_received()
+
     # Sharing of memory and of the event loop
 
     def input_step(self) -> int:
@@ -507,6 +529,9 @@
     def connection_closed(self) -> None:
         """End the current request, and notify the dispatcher if it has not been answered."""
         self._log_close()
+        if self.unconfirmed_id:
+            was_reset = self.has_failed or self.sock is None or host_info.peer_has_reset(self.sock)
+            self._settle_response(has_response=not (was_reset or self.unsent_bytes))
         self.parser.close()
         self.queue.clear()
         self.upload = None
--- a/dahliabend/http/dispatch.py
+++ b/dahliabend/http/dispatch.py
@@ -20,13 +20,22 @@
     Attributes:
         closed: Whether the connection is closed, so that nothing can be sent any more.
         class_name: Name of the request's class.
+        unconfirmed_id: Trace id of the last request that may not run again and whose response has been sent;
+            empty once the client is known to have it.
         on_request_finished: Called once the response has been sent or the client has disconnected.
     """
 
     closed: bool
     class_name: bytes
+    unconfirmed_id: bytes
     on_request_finished: Callable[[], object] | None
 
+    def has_response(self) -> bool:
+        """Return whether the client may have the last response: it has not reset the connection."""
+
+    def peer_has_closed(self) -> bool:
+        """Return whether the client has closed the connection, even if bytes before that are unread."""
+
     def send_error(self, status: int) -> None:
         """Send an error response with the status and its reason phrase."""
 
@@ -124,6 +133,9 @@
     def client_disconnected(self, handle: int) -> None:
         """Handle the loss of a client whose request has not been answered yet."""
 
+    def response_settled(self, trace_id: bytes, *, has_response: bool) -> None:
+        """Handle that a client is known to have a response, or has ended without that being known."""
+
     def ready(self) -> bool:
         """Return whether requests can be served."""
 
--- a/dahliabend/http/headers.py
+++ b/dahliabend/http/headers.py
@@ -89,7 +89,7 @@
     __slots__ = ("connection_header", "fields", "lines")
 
     def __init__(self) -> None:
-        self.fields: dict[bytes, bytes] = {}
+        self.fields = HeaderFields()
         self.lines = bytearray()
         self.connection_header = b""
 
--- a/dahliabend/http/request_parser.py
+++ b/dahliabend/http/request_parser.py
@@ -260,7 +260,7 @@
         )
         headers = self.headers.forwarded_lines()
         all_lines = bytes(self.headers.lines) if self.headers.connection_header else headers
-        fields = HeaderFields(self.headers.fields)
+        fields = self.headers.fields
         fields.lines = all_lines
         method = self._http.get_method()
         self.receiver.request_received(
--- a/dahliabend/proxy/base_dispatcher.py
+++ b/dahliabend/proxy/base_dispatcher.py
@@ -59,6 +59,9 @@
             held_bytes=held_bytes,
         )
 
+    def response_settled(self, trace_id: bytes, *, has_response: bool) -> None:
+        """Handle that a client is known to have a response, or has ended without that being known."""
+
     def request_opened(self) -> None:
         """Count a request of a known class as open."""
         self.metrics.open_requests += 1
--- a/dahliabend/proxy/dispatcher.py
+++ b/dahliabend/proxy/dispatcher.py
@@ -198,6 +198,11 @@
             if pool.number % MAX_POOLS == slot:
                 pool.router.client_disconnected(pool_handle)
 
+    def response_settled(self, trace_id: bytes, *, has_response: bool) -> None:
+        """Tell all pools whether a client has a response; one of them has sent its request."""
+        for pool in self.pools.values():
+            pool.router.response_settled(trace_id, has_response=has_response)
+
     # Status and operations, called by the server
 
     def ready(self) -> bool:
--- a/dahliabend/proxy/mirroring.py
+++ b/dahliabend/proxy/mirroring.py
@@ -15,13 +15,22 @@
         class_name: Name of the request class.
     """
 
-    __slots__ = ("class_name", "closed", "on_request_finished")
+    __slots__ = ("class_name", "closed", "on_request_finished", "unconfirmed_id")
 
     def __init__(self, class_name: bytes) -> None:
         self.class_name = class_name
         self.closed = False
+        self.unconfirmed_id = b""
         self.on_request_finished: Callable[[], object] | None = None
 
+    def has_response(self) -> bool:
+        """Return false: nobody has the response."""
+        return False
+
+    def peer_has_closed(self) -> bool:
+        """Return true: nobody waits for the response."""
+        return True
+
     def send_response(self, status: int, headers: bytes, body: bytes) -> None:
         """Drop the response."""
 
--- a/dahliabend/proxy/router.py
+++ b/dahliabend/proxy/router.py
@@ -4,7 +4,7 @@
 
 from dahliabend.config.server_settings import ServerSettings
 from dahliabend.errors import StaleHandleError
-from dahliabend.http.dispatch import IncomingRequest
+from dahliabend.http.dispatch import Client, IncomingRequest
 from dahliabend.http.headers import TIMEOUT_HEADER, TRACE_ID_HEADER, HeaderFields
 from dahliabend.http.responses import retry_after_header
 from dahliabend.http.upstream_connection import UpstreamResponse
@@ -36,6 +36,8 @@
         requests: Open requests by handle.
         memory: The account of what the process holds for its peers.
         trace_ids: Trace ids of the open requests.
+        unconfirmed: By trace id, the clients that have been sent the response to a request that may not run
+            again, and are not known to have it.
         executed: The requests that may have run and may not run again, also after their end.
         route_names: Route names by class index, where every route has a class of its own; otherwise empty.
     """
@@ -58,6 +60,7 @@
         self.requests: HandleTable[Request] = HandleTable(settings.max_in_flight)
         self.trace_ids: set[bytes] = set()
         self.executed = ExecutedRequests()
+        self.unconfirmed: dict[bytes, Client] = {}
         self.route_names: list[str] = []
         self._install_policy(settings)
 
@@ -160,7 +163,7 @@
             incoming.client.send_response(503, b"", b"out of memory\n")
             return NO_HANDLE
         request = self._create_request(incoming, class_index)
-        if request.runs_once and not self.executed.try_add(incoming.trace_id):
+        if request.runs_once and not self._may_run(incoming.trace_id):
             self._refuse_repeated_id(incoming)
             return NO_HANDLE
         request.handle = self.requests.add(request)
@@ -179,6 +182,23 @@
         self.forget_if_finished(request)
         return NO_HANDLE
 
+    def _may_run(self, trace_id: bytes) -> bool:
+        """Return whether a request that may not run again can be sent, and remember its trace id.
+
+        It can if no request with that id may have run, or if the client of the one that has run has the
+        response.
+        """
+        client = self.unconfirmed.pop(trace_id, None)
+        if self.executed.try_add(trace_id):
+            return True
+        return client is not None and client.unconfirmed_id == trace_id and client.has_response()
+
+    def response_settled(self, trace_id: bytes, *, has_response: bool) -> None:
+        """Let an id be used again if the client of its request has the response."""
+        was_unconfirmed = self.unconfirmed.pop(trace_id, None) is not None
+        if has_response and was_unconfirmed and trace_id not in self.trace_ids:
+            self.executed.discard(trace_id)
+
     def _refuse_repeated_id(self, incoming: IncomingRequest) -> None:
         """Answer a request whose trace id another one has that is open or may have run."""
         self.log("request.repeated_id", trace_id=incoming.trace_id.decode("latin-1"))
@@ -299,7 +319,7 @@
             duration = attempt.streaming_since - attempt.started_at
             self._end_stream(request, outcome)
         elif response is not None and outcome is Outcome.SUCCEEDED:
-            request.succeeded = not request.answered
+            request.succeeded = not request.answered and self._awaits_response(request)
             self.respond(request, request_log.SUCCEEDED, 200, response.headers, response.body)
         request.state.attempt_finished(
             clock(), attempt.index, outcome, duration, request.answered, attempt.connection_idle_time
@@ -309,7 +329,7 @@
     def _end_stream(self, request: Request, outcome: Outcome) -> None:
         """Finish a streamed response, or abort it if the attempt has not succeeded."""
         if outcome is Outcome.SUCCEEDED:
-            request.succeeded = True
+            request.succeeded = self._awaits_response(request)
             self.request_log.request_ended(request_log.SUCCEEDED, request)
             request.incoming.client.finish_response()
         else:
@@ -343,19 +363,34 @@
             self.policies.remove(request.policy)
         if self.requests.remove(request.handle) is not None:
             self.memory.held -= request.held_bytes
-            if request.runs_once and self._may_come_again(request):
-                self.executed.discard(request.incoming.trace_id)
+            if request.runs_once:
+                self._release_id(request)
         self.trace_ids.discard(request.incoming.trace_id)
         # Breaks the reference cycle between request and attempts: otherwise the request and its body would
         # stay in memory until the garbage collector runs.
         request.attempts.clear()
 
-    def _may_come_again(self, request: Request) -> bool:
-        """Return whether the id of a request that has ended may be used again.
+    def _awaits_response(self, request: Request) -> bool:
+        """Return whether a request's client has not closed its connection; called before it is answered.
+
+        It is looked up only where it matters: for a request that may not run again.
+        """
+        client = request.incoming.client
+        return not (request.runs_once and (client.closed or client.peer_has_closed()))
+
+    def _release_id(self, request: Request) -> None:
+        """Let the id of a request that has ended be used again, if no attempt can have run.
 
-        It may if no attempt can have run, or if the client knows that the request has run.
+        After a response of an upstream it is used again once the client has that.
         """
-        return request.succeeded or request.state.first_possibly_executed() is None
+        trace_id = request.incoming.trace_id
+        client = request.incoming.client
+        if request.state.first_possibly_executed() is None:
+            self.executed.discard(trace_id)
+        elif request.succeeded and not client.closed:
+            self.unconfirmed.pop(client.unconfirmed_id, None)
+            client.unconfirmed_id = trace_id
+            self.unconfirmed[trace_id] = client
 
     # Shutdown
 
--- a/dahliabend/server/memory_guard.py
+++ b/dahliabend/server/memory_guard.py
@@ -11,7 +11,7 @@
 MEGABYTE = 1 << 20
 CHECK_INTERVAL = 50_000  # microseconds between two readings of the resident memory
 MARGIN_FRACTION = 1 / 32  # of the limit, for what is on no account
-MIN_MARGIN = 3 * MEGABYTE // 2  # bytes
+MIN_MARGIN = 9 * MEGABYTE // 4  # bytes
 MIN_CAPACITY = MEGABYTE  # bytes for peers, however little the limit leaves
 EMERGENCY_FRACTION = 1 / 4  # of the capacity, which is aimed at when the process comes close to its limit
 LOG_DIVISOR = 16  # lines that nobody reads may take this part of the capacity
--- a/dahliabend/simulation/simulated_host.py
+++ b/dahliabend/simulation/simulated_host.py
@@ -25,6 +25,7 @@
     "inherited_socket",
     "read_file",
     "peer_has_closed",
+    "peer_has_reset",
     "resident_bytes",
     "time_since_data",
 )
@@ -148,6 +149,10 @@
         end = sock.connected_end
         return end.fin_received or end.reset_received
 
+    def peer_has_reset(self, sock: Socket) -> bool:
+        """Return whether the peer has reset the connection."""
+        return sock.connected_end.reset_received
+
     def time_since_data(self, _sock: Socket) -> int:
         """Return 0: not known."""
         return 0
--- a/dahliabend/transport/buffered_output.py
+++ b/dahliabend/transport/buffered_output.py
@@ -91,8 +91,10 @@
                 return
             self._output_written(len(data))
 
-    def _next_output(self) -> bytes | memoryview:
+    def _next_output(self) -> bytes | bytearray | memoryview:
         """Return the next bytes to write, small pieces joined."""
+        if len(self.pending) == 1 and self.unsent_bytes <= WRITE_BYTES and not self.pending_offset:
+            return self.pending[0]
         first = memoryview(self.pending[0])[self.pending_offset : self.pending_offset + WRITE_BYTES]
         if len(first) == WRITE_BYTES or len(self.pending) == 1:
             return first
@@ -108,6 +110,10 @@
     def _output_written(self, count: int) -> None:
         """Remove bytes that the kernel has taken from the pending pieces."""
         self.unsent_bytes -= count
+        if not self.unsent_bytes:
+            self.pending.clear()
+            self.pending_offset = 0
+            return
         self.pending_offset += count
         while self.pending and self.pending_offset >= len(self.pending[0]):
             self.pending_offset -= len(self.pending.pop(0))
--- a/dahliabend/transport/connection.py
+++ b/dahliabend/transport/connection.py
@@ -42,6 +42,7 @@
         unprocessed_since: Clock time (us) since which received bytes may have waited; 0 if none wait.
         may_have_waited: Whether the bytes of the next read may have come long before it.
         may_wait_in_kernel: Whether bytes may have waited in the kernel, because reading was paused.
+        has_failed: Whether the connection has ended by a reset or another error.
         close_reason: Why this process has closed it, if that is worth a note; else empty.
         sock: The socket; None before it is connected, and after the connection is lost or reset.
     """
@@ -63,6 +64,7 @@
         self.unprocessed_since = 0
         self.may_have_waited = False
         self.may_wait_in_kernel = False
+        self.has_failed = False
         self.close_reason = ""
         self.sock: socket.socket | None = None
 
@@ -310,9 +312,10 @@
             if self.transport is not None:
                 self.transport.close()
 
-    def connection_lost(self, _error: Exception | None) -> None:
+    def connection_lost(self, error: Exception | None) -> None:
         """Release the descriptor and what is held after the transport has closed."""
         self.closed = True
+        self.has_failed = error is not None
         self.release()
         self.turn.forget(self)
         self.unprocessed = bytearray()
--- a/dahliabend/transport/host_info.py
+++ b/dahliabend/transport/host_info.py
@@ -71,6 +71,13 @@
     return int(fields[_RESIDENT_FIELD]) * _PAGE_BYTES
 
 
+def peer_has_reset(sock: socket.socket) -> bool:
+    """Return whether the peer has reset the connection, as it does if it closes with data unread."""
+    poll = select.poll()
+    poll.register(sock, 0)  # errors and a complete end are always reported
+    return any(events & select.POLLERR for _, events in poll.poll(0))
+
+
 def read_file(path: str) -> bytes:
     """Return the content of a file.
 
--- a/dahliabend/transport/memory_budget.py
+++ b/dahliabend/transport/memory_budget.py
@@ -7,10 +7,10 @@
 
 # What an open connection holds with nothing buffered: its objects, its parser and its transport.
 CONNECTION_BYTES = 6 * 1024
-CONNECTIONS_FRACTION = 1 / 2  # of the capacity, for connections with nothing buffered
-HIGH_WATER = 5 / 8  # of the capacity: above it, holders have to give up what they hold
-LOW_WATER = 1 / 2  # of the capacity, which is then aimed at
-FULL = 3 / 4  # of the capacity: above it, no request is admitted
+CONNECTIONS_FRACTION = 5 / 16  # of the capacity, for connections with nothing buffered
+HIGH_WATER = 1 / 2  # of the capacity: above it, holders have to give up what they hold
+LOW_WATER = 3 / 8  # of the capacity, which is then aimed at
+FULL = 5 / 8  # of the capacity: above it, no request is admitted
 MAX_ALLOWANCE = 64 * 1024  # bytes that one direction of a connection may buffer
 MIN_ALLOWANCE = 4 * 1024
 ALLOWANCE_DIVISOR = 16  # one direction of a connection may buffer this part of the free bytes
--- a/dahliabend/transport/turn_budget.py
+++ b/dahliabend/transport/turn_budget.py
@@ -9,6 +9,7 @@
 # Microseconds.
 TURN_TIME = 5_000  # of processing input in one turn, for all connections together
 CONNECTION_TIME = 1_000  # of that, for one connection
+MIN_GAP = 2_000  # without input, after which no turn is under way that has had input
 LONG_TURN = 20_000
 MAX_WAIT = 100_000  # until a connection that waits is due, however much processing time it has had
 WAIT_PER_ATTAINED = 32  # by what multiple of its processing time a connection is due later
@@ -57,6 +58,8 @@
         self.was_long = False
         self.deferred: dict[InputProcessor, int] = {}
         self._began_at = 0
+        self._burst_began_at = 0
+        self._last_input_at = 0
         self._is_running = False  # whether the end of the turn is scheduled
 
     def read_view(self, limit: int) -> memoryview:
@@ -64,12 +67,21 @@
         return self.receive_area[:limit]
 
     def has_time(self, now: int) -> bool:
-        """Return whether input may be processed at `now` (us, clock time); begin a turn if none has begun."""
-        if not self._is_running:
+        """Return whether input may be processed at `now` (us, clock time).
+
+        A call in the next turn costs the event loop a turn more. So the turn is only watched once input has
+        come without a gap for as long as a turn may last.
+        """
+        if self._is_running:
+            if now >= self._began_at + TURN_TIME:
+                self.is_over = True
+            return not self.is_over
+        if now - self._last_input_at > MIN_GAP:
+            self._burst_began_at = now
+        elif now - self._burst_began_at > TURN_TIME:
             self._begin(now)
-        elif now >= self._began_at + TURN_TIME:
-            self.is_over = True
-        return not self.is_over
+        self._last_input_at = now
+        return True
 
     def _begin(self, now: int) -> None:
         self._began_at = now
@@ -96,6 +108,7 @@
         self.was_long = duration > LONG_TURN
         self.longest_turn = max(self.longest_turn, duration)
         self._is_running = False
+        self._burst_began_at = now
         if not self.deferred:
             self.is_over = False
             return
