--- a/tests/server/test_hot_restart.py
+++ b/tests/server/test_hot_restart.py
@@ -4,7 +4,7 @@
 import signal
 from threading import Event, Thread
 
-from helpers import PATIENCE, Client, Upstream, call_admin, wait_for_event, wait_until
+from helpers import PATIENCE, Client, Upstream, call_admin, make_response, wait_for_event, wait_until
 from processes_on_one_listener import set_excluded, start_processes, telemetry_value
 
 from dahliabend.server.hot_restart import VERSION, HotRestart
@@ -112,3 +112,31 @@
     assert hot_restart.exclusions() == {"s-1/../x"}
     hot_restart.set_excluded("s-1/../x", False)
     assert hot_restart.exclusions() == set()
+
+
+# Guards against issue 60 (c): an id ran twice when it came again at the other process of an upgrade.
+def test_an_id_whose_request_may_have_run_is_refused_by_the_successor():
+    held = Event()
+
+    def respond(conn, request):
+        if request[1]["x-trace-id"] == "left":
+            held.wait(PATIENCE)
+        conn.sendall(make_response())
+        return True
+
+    upstream = Upstream(respond)
+    with start_processes(upstream) as start:
+        address, predecessor, _ = start()
+        client = Client(address)
+        client.send("submit", "POST", trace_id="left")
+        upstream.received_requests.get(timeout=PATIENCE)
+        client.sock.close()
+        client.file.close()
+        wait_for_event(predecessor, "request.client_disconnected")
+        start()
+        predecessor.send_signal(signal.SIGTERM)
+        assert predecessor.wait(PATIENCE) == 0
+        assert Client(address).request("submit", "POST", trace_id="left")[0] == 409
+        assert upstream.received_requests.empty()
+        assert Client(address).request("submit", "POST", trace_id="new")[0] == 200
+        held.set()
