--- a/dahliabend/http/client_connection.py
+++ b/dahliabend/http/client_connection.py
@@ -1,29 +1,27 @@
 """HTTP connections of clients: requests are received, and answered one by one in the same order."""
 
 import asyncio
-from collections import deque
-from collections.abc import Callable
 
 from dahliabend.http import headers as wire
 from dahliabend.http.dispatch import Dispatcher, IncomingRequest, is_valid_trace_id_and_timeout
 from dahliabend.http.headers import HeaderFields
 from dahliabend.http.request_parser import BODY_PAUSE_TIMEOUT, ReceivedRequest, RequestParser
-from dahliabend.http.responses import CONNECTION_CLOSE, CONTINUE, Framing, StreamedResponse, response_head
-from dahliabend.http.serving_state import FLUSHING, LINGERING, SERVING, WAITING, ServingState
-from dahliabend.http.streaming import BodySource, StreamingBody
+from dahliabend.http.response_sender import ResponseSender
+from dahliabend.http.responses import CONTINUE
+from dahliabend.http.serving_state import FLUSHING, LINGERING, SERVING, WAITING
+from dahliabend.http.streaming import StreamingBody
 from dahliabend.transport import host_info
 from dahliabend.transport.connection import MIN_STEP
 from dahliabend.transport.descriptor_budget import DescriptorBudget
-from dahliabend.transport.disconnect_detection import CLIENT_LEFT, DisconnectDetectingConnection
+from dahliabend.transport.disconnect_detection import CLIENT_LEFT
 from dahliabend.transport.handles import NO_HANDLE
-from dahliabend.transport.timers import MICROSECONDS_PER_MILLISECOND, Timer, TimerQueue, clock
+from dahliabend.transport.timers import MICROSECONDS_PER_MILLISECOND, TimerQueue, clock
 from dahliabend.transport.turn_budget import RECEIVE_AREA_BYTES
 
 # Microseconds.
 REQUEST_TIMEOUT = 2_500_000  # for receiving a request, the first one counted from accepting; not over 3 s
 SLOW_REQUEST_AGE = REQUEST_TIMEOUT // 8  # from this age on, an incomplete request can be evicted
 MIN_UPLOAD_TIME = 1_000_000  # from which age on a streamed body is given up if clients wait for a descriptor
-STREAM_TIMEOUT_FACTOR = 4  # write timeouts in which the rest of a streamed response has to be sent
 MIN_LINGER_TIME = 100_000  # for a client that goes on sending, if others wait for a descriptor
 LINGER_DIVISOR = 4  # of the write timeout: time for the client to close after the final response
 RELIEF_GRACE = 100_000  # without a byte, until an incomplete request or an unread response counts as slow
@@ -32,54 +30,28 @@
 QUEUED_REQUEST_BYTES = 4096  # that a parsed request holds beside its headers and its body
 SLOW, RECENT = range(2)  # ranks of the connections that have to give up what they hold
 # Reasons for the log.
-RESPONSE_NOT_READ = "response not read"
 OUT_OF_MEMORY = "memory"
 
 ALLOWED_METHODS = b"Allow: GET, POST\r\n"  # header line of a 405 response
 
 
-class ClientConnection(DisconnectDetectingConnection):
+class ClientConnection(ResponseSender):
     """The connection of one client. Requests are served one at a time, in the order received.
 
     Attributes:
-        dispatcher: Serves the requests.
-        write_timeout: Microseconds within which the client has to read a response.
-        queue: Received requests that wait behind the one being served.
-        state: What the connection is doing.
-        keep_alive: Whether the connection stays open after the current response.
-        request_handle: Handle of the request that is being served; `NO_HANDLE` if the dispatcher has none.
-        class_name: Name of that request's class until its response is sent; empty if the class is unknown.
-        unconfirmed_id: Trace id of the last request that may not run again and whose response has been sent;
-            empty once the client is known to have it.
-        on_request_finished: Called when the response is sent or the connection closed; set by the dispatcher.
-        upload: The body of that request, if it is still being received.
-        response: The response to that request, if it is streamed.
         opened_at: Clock time (us) of accepting, so that a connection whose transport is not connected yet is
             not taken for idle; 0 from the first response on.
         evictable_from: Clock time (us) from which a lingering connection can be evicted with input unread.
-        timeout_timer: Fires when the time for receiving a request, sending a response or lingering is over.
     """
 
     def __init__(
         self, descriptors: DescriptorBudget, timers: TimerQueue, dispatcher: Dispatcher, write_timeout: int
     ) -> None:
-        super().__init__(descriptors, timers)
-        self.dispatcher = dispatcher
-        self.write_timeout = write_timeout
+        super().__init__(descriptors, timers, dispatcher, write_timeout)
         self.parser = RequestParser(self)
-        self.queue: deque[ReceivedRequest] = deque()
-        self.state: ServingState = WAITING
-        self.keep_alive = False
-        self.request_handle = NO_HANDLE
-        self.class_name = b""
-        self.unconfirmed_id = b""
-        self.on_request_finished: Callable[[], object] | None = None
-        self.upload: StreamingBody | None = None
-        self.response: StreamedResponse | None = None
         self.opened_at = clock()
         self.evictable_from = 0
         self.may_have_waited = True  # the connection has waited to be accepted
-        self.timeout_timer: Timer | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the first request.
@@ -163,7 +135,7 @@
         """Answer a request that could not be parsed."""
         self.state = SERVING
         self.keep_alive = False
-        self._classify(b"", self.parser.target.partition(b"?")[0], HeaderFields())
+        self.classify(b"", self.parser.target.partition(b"?")[0], HeaderFields())
         self.send_error(self.parser.error_status)
 
     def _limit_begun_request(self) -> None:
@@ -179,7 +151,7 @@
     def start_request(self, request: ReceivedRequest) -> None:
         """Answer a request, or pass it to the dispatcher."""
         if self.unconfirmed_id:
-            self._settle_response(has_response=True)
+            self.settle_response(has_response=True)
         self.keep_alive = request.keep_alive
         body = request.body
         if isinstance(body, StreamingBody):
@@ -192,7 +164,7 @@
         if path == wire.READY_PATH:
             self._answer_readiness_check()
             return
-        target_number = self._classify(request.method, path, request.fields)
+        target_number = self.classify(request.method, path, request.fields)
         if target_number is None:
             self.send_error(404)
             return
@@ -231,110 +203,7 @@
         status, body = (200, b"ready\n") if self.dispatcher.ready() else (503, b"not ready\n")
         self.send_response(status, b"", body)
 
-    def _classify(self, method: bytes, path: bytes, fields: HeaderFields) -> int | None:
-        """Return the number of the request's class, if known, and count the request as open."""
-        name_and_number = self.dispatcher.classify(method, path, fields)
-        if name_and_number is None:
-            return None
-        self.class_name, target_number = name_and_number
-        self.dispatcher.request_opened()
-        return target_number
-
-    def _request_finished(self) -> None:
-        """Stop counting the current request as open, and notify the dispatcher."""
-        if not self.class_name:
-            return
-        self.class_name = b""
-        self.dispatcher.request_closed()
-        callback = self.on_request_finished
-        self.on_request_finished = None
-        if callback is not None:
-            callback()
-
-    # Responses
-
-    def send_error(self, status: int) -> None:
-        """Send an error response with the status and its reason phrase."""
-        self.send_response(status, b"", wire.REASON_PHRASES[status] + b"\n")
-
-    def send_response(self, status: int, headers: bytes, body: bytes) -> None:
-        """Send a response whose body is complete."""
-        self.request_handle = NO_HANDLE
-        if self.closed:
-            return
-        if self.class_name:
-            self.dispatcher.count_response(self.class_name, status)
-        if self.upload is not None:
-            self._discard_upload()
-        head = response_head(status, headers, self._connection_line(), len(body))
-        self.state = FLUSHING
-        self.timers.cancel(self.timeout_timer)
-        self.write(head, body)
-        if self.state is FLUSHING:
-            # A client that reads nothing would hold its descriptor and the response in memory forever.
-            due = clock() + self.write_timeout
-            self.timeout_timer = self.timers.schedule(due, self.abort, RESPONSE_NOT_READ)
-
-    def _connection_line(self) -> bytes:
-        """Decide whether the connection stays open after the response; return the Connection header line.
-
-        While descriptors are scarce the connection is closed, as clients that wait to be accepted would miss
-        their deadlines. It stays open if further requests have been received: closing it would lose them.
-        """
-        if self.keep_alive and not self.queue:
-            self.keep_alive = not (self.dispatcher.closing() or self.descriptors.reserve_in_use)
-        return b"" if self.keep_alive else CONNECTION_CLOSE
-
-    def _discard_upload(self) -> None:
-        """Drop the upload; if it is incomplete, close the connection after the response."""
-        self.descriptors.receiving.pop(self.handle, None)
-        if self.upload is not None and not self.upload.is_complete:
-            self.keep_alive = False  # the rest of an answered body has no use: its end is not waited for
-            self.parser.fail(413)
-        self.upload = None
-
-    def start_response(self, headers: bytes, length: int | None, source: BodySource) -> None:
-        """Start a streamed response with status 200, whose body is read from `source`."""
-        if self.closed:
-            return
-        self._discard_upload()
-        self.response = StreamedResponse(source, length, self.parser.http_version)
-        self.timers.cancel(self.timeout_timer)
-        self.write(self.response.head(headers, self._connection_line()))
-
-    def send_part(self, data: bytes) -> None:
-        """Send a part of the body of the streamed response."""
-        if self.closed or self.response is None:
-            return
-        self.write(*self.response.frame(data))
-        if self.unsent_bytes > self.memory.allowance() and self.response is not None:
-            self.response.source.suspend_reading()
-
-    def finish_response(self) -> None:
-        """Complete the streamed response."""
-        if self.closed or self.response is None:
-            return
-        response = self.response
-        self.response = None
-        self.request_handle = NO_HANDLE
-        self.dispatcher.count_response(self.class_name, 200)
-        self.state = FLUSHING
-        due = clock() + STREAM_TIMEOUT_FACTOR * self.write_timeout
-        self.timeout_timer = self.timers.schedule(due, self.abort, RESPONSE_NOT_READ)
-        self.write(response.terminator())
-
-    def abort_response(self) -> None:
-        """Leave the streamed response incomplete, in a way that the client can detect."""
-        if self.closed or self.response is None:
-            return
-        response = self.response
-        self.response = None
-        self.request_handle = NO_HANDLE
-        self.dispatcher.count_response(self.class_name, 502)
-        if response.framing is Framing.UNTIL_CLOSE:
-            self.reset()  # the client would take an orderly close for the end of the response
-        else:
-            self.abort()
+    # Output and further input
 
     def output_flushed(self) -> None:
         """Resume the source of a streamed response, or finish a response that has been sent in full."""
@@ -342,7 +211,7 @@
             self.response.source.resume_reading()
         if self.state is not FLUSHING:
             return
-        self._request_finished()
+        self.request_finished()
         self.timers.cancel(self.timeout_timer)
         self.timeout_timer = None
         if not self.keep_alive:
@@ -374,22 +243,6 @@
             super().process_input()
             self.attained_time += clock() - began_at
 
-    def _settle_response(self, *, has_response: bool) -> None:
-        """Note whether the client has the last response."""
-        trace_id = self.unconfirmed_id
-        self.unconfirmed_id = b""
-        self.dispatcher.response_settled(trace_id, has_response=has_response)
-
-    def has_response(self) -> bool:
-        """Return whether the client may have the last response: it has not reset the connection."""
-        return not self.closed and self.sock is not None and not host_info.peer_has_reset(self.sock)
-
-    def eof_received(self) -> bool:
-        """Note that the client has the last response: with a part of it unread, it would reset."""
-        if self.unconfirmed_id and not self.unsent_bytes and self.has_response():
-            self._settle_response(has_response=True)
-        return super().eof_received()
-
     # Sharing of memory and of the event loop
 
     def input_step(self) -> int:
@@ -531,14 +384,14 @@
         self._log_close()
         if self.unconfirmed_id:
             was_reset = self.has_failed or self.sock is None or host_info.peer_has_reset(self.sock)
-            self._settle_response(has_response=not (was_reset or self.unsent_bytes))
+            self.settle_response(has_response=not (was_reset or self.unsent_bytes))
         self.parser.close()
         self.queue.clear()
         self.upload = None
         self.response = None
         self.timers.cancel(self.timeout_timer)
         super().connection_closed()
-        self._request_finished()
+        self.request_finished()
         handle = self.request_handle
         self.request_handle = NO_HANDLE
         if handle != NO_HANDLE:
