Memory: a larger margin, the resident memory looked up every 20 ms, 9 KB for a connection; names

The harness took a log line that a kill had cut off for a fault of the program.

Names: reserved for held, loop budget and iteration for turn, group for crowd in code, as the words of the older house style are withdrawn.

--- a/dahliabend/http/client_connection.py
+++ b/dahliabend/http/client_connection.py
@@ -15,8 +15,8 @@
 from dahliabend.transport.descriptor_budget import DescriptorBudget
 from dahliabend.transport.disconnect_detection import CLIENT_LEFT
 from dahliabend.transport.handles import NO_HANDLE
+from dahliabend.transport.loop_budget import RECEIVE_AREA_BYTES
 from dahliabend.transport.timers import MICROSECONDS_PER_MILLISECOND, TimerQueue, clock
-from dahliabend.transport.turn_budget import RECEIVE_AREA_BYTES
 
 # Microseconds.
 REQUEST_TIMEOUT = 2_500_000  # for receiving a request, the first one counted from accepting; not over 3 s
@@ -24,7 +24,7 @@
 MIN_UPLOAD_TIME = 1_000_000  # from which age on a streamed body is given up if clients wait for a descriptor
 MIN_LINGER_TIME = 100_000  # for a client that goes on sending, if others wait for a descriptor
 LINGER_DIVISOR = 4  # of the write timeout: time for the client to close after the final response
-RELIEF_GRACE = 100_000  # without a byte, until an incomplete request or an unread response counts as slow
+RELIEF_DELAY = 100_000  # without a byte, until an incomplete request or an unread response counts as slow
 
 HEAD_STEP = MIN_STEP  # bytes of a head parsed at once; a head can consist of very many fields
 QUEUED_REQUEST_BYTES = 4096  # that a parsed request holds beside its headers and its body
@@ -222,16 +222,16 @@
         self.descriptors.mark_idle(self.handle, clock())
         if self.queue or self.unprocessed or self.parser.received_at or self.parser.error_status:
             # In the next turn of the event loop: serving a long queue at once would nest a call per request.
-            self.continue_in_next_turn()
+            self.continue_in_next_iteration()
         else:
             self.attained_time = 0
 
-    def continue_in_next_turn(self) -> None:
+    def continue_in_next_iteration(self) -> None:
         """Serve requests that were received while the previous response was being sent."""
-        if self.turn.loop is None:
+        if self.loop_budget.loop is None:
             self.timers.loop.call_soon(self.process_input)
         else:
-            self.turn.defer(self)
+            self.loop_budget.defer(self)
 
     def process_input(self) -> None:
         """Serve the next request that was received, unless its client has left; then parse further input."""
@@ -276,7 +276,7 @@
             since = now if self.is_transport_paused else self.last_input_at
         else:
             return None
-        return SLOW if now - since > RELIEF_GRACE else RECENT
+        return SLOW if now - since > RELIEF_DELAY else RECENT
 
     @property
     def _is_receiving_request(self) -> bool:
@@ -298,7 +298,7 @@
         self.descriptors.receiving.pop(self.handle, None)
         if self.closed or not self._is_receiving_request:
             return
-        self.dispatcher.request_shed(self.parser.target, self.held_bytes)
+        self.dispatcher.request_shed(self.parser.target, self.reserved_bytes)
         self.parser.fail(503)
         self.serve_next()
         self.update_output_account()
@@ -376,7 +376,7 @@
         is_unanswered = self._is_serving or self.queue or self.parser.received_at
         if self.close_reason and is_unanswered:
             self.dispatcher.connection_closed(
-                self.close_reason, self.state.name, len(self.queue), self.held_bytes
+                self.close_reason, self.state.name, len(self.queue), self.reserved_bytes
             )
 
     def connection_closed(self) -> None:
--- a/dahliabend/http/dispatch.py
+++ b/dahliabend/http/dispatch.py
@@ -148,17 +148,17 @@
     def request_closed(self) -> None:
         """Stop counting a request as open: its response was sent, or its connection closed."""
 
-    def request_shed(self, target: bytes, held_bytes: int) -> None:
+    def request_shed(self, target: bytes, reserved_bytes: int) -> None:
         """Handle the rejection of a request that was being received, for lack of memory."""
 
-    def connection_closed(self, reason: str, state: str, queued_requests: int, held_bytes: int) -> None:
+    def connection_closed(self, reason: str, state: str, queued_requests: int, reserved_bytes: int) -> None:
         """Handle that this process has closed the connection of a client that awaits an answer.
 
         Args:
             reason: Why it was closed.
             state: What the connection was doing.
             queued_requests: Number of requests that were received and not served.
-            held_bytes: Bytes that the connection held.
+            reserved_bytes: Bytes that the connection held.
         """
 
     def count_response(self, name: bytes, status: int) -> None:
--- a/dahliabend/process_tests/platform_balancer.py
+++ b/dahliabend/process_tests/platform_balancer.py
@@ -252,6 +252,8 @@
         if process.stderr is None:
             return
         while line := await process.stderr.readline():
+            if not line.endswith(b"\n"):
+                return  # the process was killed while it wrote
             try:
                 record = orjson.loads(line)
             except ValueError:
--- a/dahliabend/process_tests/recording_upstream.py
+++ b/dahliabend/process_tests/recording_upstream.py
@@ -54,18 +54,20 @@
             if len(runs) > 1 and any(run.is_unsafe for run in runs)
         }
 
-    def told_too_much(self, sent_at: dict[str, float], patience: float, slack: float) -> list[str]:
+    def excessive_times_left(
+        self, sent_at: dict[str, float], client_timeout: float, slack: float
+    ) -> list[str]:
         """Return the attempts that told their upstream more time than their client had left, with slack.
 
         Args:
             sent_at: When requests were sent (monotonic seconds), by trace id.
-            patience: Seconds that their clients wait.
+            client_timeout: Seconds that their clients wait.
             slack: Seconds that are allowed.
         """
         found = []
         for trace_id, at in sent_at.items():
             for run in self.executions.get(trace_id, ()):
-                excess = run.time_left_ms / 1000 - (at + patience - run.began_at)
+                excess = run.time_left_ms / 1000 - (at + client_timeout - run.began_at)
                 if excess > slack:
                     found.append(f"{trace_id}: told {excess:.3f} s more than its client had left")
         return found
--- a/dahliabend/process_tests/rude_clients.py
+++ b/dahliabend/process_tests/rude_clients.py
@@ -270,7 +270,7 @@
         await asyncio.sleep(RETRY_PAUSE)
 
 
-async def run_crowd(form: str, address: Address, count: int, seconds: float, seed: int) -> None:
+async def run_group(form: str, address: Address, count: int, seconds: float, seed: int) -> None:
     """Run a number of clients of one form at the same time."""
     until = time.monotonic() + seconds
     clients = [
@@ -279,7 +279,7 @@
     await asyncio.gather(*(run_client(client, form, until) for client in clients))
 
 
-async def start_crowd(
+async def start_group(
     form: str, address: Address, count: int, seconds: float, seed: int = 1
 ) -> asyncio.subprocess.Process:
     """Start a process with clients of one form; it ends by itself after `seconds`."""
@@ -291,7 +291,7 @@
 def main(arguments: list[str]) -> None:
     """Run a crowd as the arguments say: form, host, port, count, seconds, seed."""
     form, host, port, count, seconds, seed = arguments
-    asyncio.run(run_crowd(form, (host, int(port)), int(count), float(seconds), int(seed)))
+    asyncio.run(run_group(form, (host, int(port)), int(count), float(seconds), int(seed)))
 
 
 if __name__ == "__main__":
--- a/dahliabend/process_tests/rude_run.py
+++ b/dahliabend/process_tests/rude_run.py
@@ -19,13 +19,13 @@
     RecordingUpstream,
     UpstreamRecord,
 )
-from dahliabend.process_tests.rude_clients import start_crowd
+from dahliabend.process_tests.rude_clients import start_group
 from dahliabend.process_tests.sound_clients import ClientRecord, SoundClient
 
 UPSTREAMS = 4
 SOUND_CLIENTS = 20
 MEAN_PAUSE = 0.1  # seconds between two requests of a sound client
-PATIENCE = 2.0  # seconds that a sound client waits
+CLIENT_TIMEOUT = 2.0  # seconds that a sound client waits
 HEAD_START = 0.5  # seconds in which the sound clients are alone
 TAIL = 0.5  # seconds in which they are alone again
 EXCUSE = 0.1  # seconds around an outright kill
@@ -60,7 +60,7 @@
         self.listener = listener
         self.killed_at: list[float] = []
         self.shutdowns: list[tuple[float, float]] = []  # their beginnings and latest ends
-        self.has_crowd = False
+        self.has_group = False
         self.balancer: PlatformBalancer
         self.predecessors: list[PlatformBalancer] = []
         self._connectable_until: float | None = None
@@ -118,13 +118,13 @@
         "Idle clients fill the descriptors (new connections may be shut unread then)": in a shutdown beside a
         crowd.
         """
-        return self.has_crowd and any(
+        return self.has_group and any(
             began_at <= ended_at <= over_at + EXCUSE and opened_at >= began_at - EXCUSE
             for began_at, over_at in self.shutdowns
         )
 
     def sound_clients(
-        self, stop: asyncio.Event, seed: int = 0, patience: float = PATIENCE
+        self, stop: asyncio.Event, seed: int = 0, client_timeout: float = CLIENT_TIMEOUT
     ) -> list[asyncio.Task[None]]:
         """Start sound clients, which send requests until `stop` is set."""
         return [
@@ -132,7 +132,7 @@
                 SoundClient(
                     f"c{seed}.{number}",
                     self,
-                    patience,
+                    client_timeout,
                     Random(f"{seed} {number}"),
                 ).run(stop, MEAN_PAUSE)
             )
@@ -215,8 +215,8 @@
         stop = asyncio.Event()
         sound = environment.sound_clients(stop, seed)
         await asyncio.sleep(HEAD_START)
-        crowd = await start_crowd(form, environment.balancer.address, count, seconds, seed)
-        await crowd.wait()
+        group = await start_group(form, environment.balancer.address, count, seconds, seed)
+        await group.wait()
         await asyncio.sleep(TAIL)
         stop.set()
         await asyncio.gather(*sound)
--- a/dahliabend/process_tests/soak.py
+++ b/dahliabend/process_tests/soak.py
@@ -18,8 +18,8 @@
     ProcessLimits,
     default_settings,
 )
-from dahliabend.process_tests.rude_clients import FORMS, start_crowd
-from dahliabend.process_tests.rude_run import PATIENCE, Environment, open_environment
+from dahliabend.process_tests.rude_clients import FORMS, start_group
+from dahliabend.process_tests.rude_run import CLIENT_TIMEOUT, Environment, open_environment
 
 MEMORY_LIMITS_MB = (32, 48, 64, 96, 192)
 DESCRIPTORS = (256, 1024)
@@ -30,9 +30,9 @@
 SERIES = (1, 4)  # least and most signals of a series
 SERIES_PAUSE = (0.05, 0.5)  # seconds between two signals of a series
 QUIET = (0.3, 1.5)  # seconds between two actions
-CROWD_SHARE = 0.7  # of the runs that have a crowd
-CROWD_SIZES = (1, 20, 200, 600)
-MAX_CROWDS = 2
+GROUP_SHARE = 0.7  # of the runs that have a crowd
+GROUP_SIZES = (1, 20, 200, 600)
+MAX_GROUPS = 2
 DEADLINE_SLACK = 0.15  # seconds that an attempt may tell its upstream beyond what is left
 SETTLE_TIME = 0.5  # seconds before the first and after the last action
 
@@ -48,7 +48,7 @@
         limits: Limits of the process.
         deadline_ms: Longest deadline of the request classes.
         actions: The actions, in order.
-        crowds: The crowds, by form with their sizes.
+        groups: The groups of rude clients, by form with their sizes.
         peak_mb: Largest resident memory of any process.
         summary: Requests of the sound clients in one line.
         violations: What broke a rule.
@@ -58,7 +58,7 @@
     limits: ProcessLimits
     deadline_ms: float
     actions: list[str] = field(default_factory=list)
-    crowds: list[str] = field(default_factory=list)
+    groups: list[str] = field(default_factory=list)
     peak_mb: float = 0.0
     summary: str = ""
     violations: list[str] = field(default_factory=list)
@@ -70,7 +70,7 @@
             f"seed {self.seed}: {verdict}; "
             f"{self.limits.memory_mb} MB, {self.limits.descriptors} descriptors, "
             f"deadline {self.deadline_ms:.0f} ms, peak {self.peak_mb:.1f} MB; {' '.join(self.actions)}; "
-            f"crowds: {' '.join(self.crowds) or 'none'}; {self.summary}"
+            f"crowds: {' '.join(self.groups) or 'none'}; {self.summary}"
         )
 
 
@@ -89,9 +89,9 @@
         self.tasks: list[asyncio.Task[None]] = []
 
     @property
-    def patience(self) -> float:
+    def client_timeout(self) -> float:
         """Seconds that a sound client waits."""
-        return min(PATIENCE, self.result.deadline_ms / 1000)
+        return min(CLIENT_TIMEOUT, self.result.deadline_ms / 1000)
 
     async def run(self) -> SoakResult:
         """Run the actions and return the result."""
@@ -111,8 +111,8 @@
     async def _run_actions(self) -> None:
         environment = self.environment
         stop = asyncio.Event()
-        sound = environment.sound_clients(stop, self.result.seed, self.patience)
-        crowds = asyncio.create_task(self._run_crowds(stop))
+        sound = environment.sound_clients(stop, self.result.seed, self.client_timeout)
+        groups = asyncio.create_task(self._run_groups(stop))
         await asyncio.sleep(SETTLE_TIME)
         actions = self._actions()
         for _ in range(self.action_count):
@@ -122,7 +122,7 @@
             await asyncio.sleep(self.rng.uniform(*QUIET))
         await asyncio.sleep(SETTLE_TIME)
         stop.set()
-        await asyncio.gather(*sound, crowds)
+        await asyncio.gather(*sound, groups)
         self._judge()
 
     def _actions(self) -> dict[str, Action]:
@@ -133,21 +133,21 @@
 
     # Crowds
 
-    async def _run_crowds(self, stop: asyncio.Event) -> None:
+    async def _run_groups(self, stop: asyncio.Event) -> None:
         """Run one crowd after the other until the end."""
-        if self.rng.random() >= CROWD_SHARE:
+        if self.rng.random() >= GROUP_SHARE:
             return
         rng = Random(f"crowds {self.result.seed}")
-        self.environment.has_crowd = True
-        for _ in range(rng.randint(1, MAX_CROWDS)):
+        self.environment.has_group = True
+        for _ in range(rng.randint(1, MAX_GROUPS)):
             if stop.is_set():
                 return
-            form, size = rng.choice(tuple(FORMS)), rng.choice(CROWD_SIZES)
-            self.result.crowds.append(f"{form}:{size}")
+            form, size = rng.choice(tuple(FORMS)), rng.choice(GROUP_SIZES)
+            self.result.groups.append(f"{form}:{size}")
             seconds = rng.uniform(2.0, 5.0)
             seed = rng.randrange(1 << 30)
-            crowd = await start_crowd(form, self.environment.balancer.address, size, seconds, seed)
-            await crowd.wait()
+            group = await start_group(form, self.environment.balancer.address, size, seconds, seed)
+            await group.wait()
 
     # Actions
 
@@ -231,8 +231,8 @@
             result.violations.append("the process has ended by itself")
         result.violations += clients.lost + clients.foreign
         result.violations += [f"{name} ran more than once" for name in environment.executed.repeated_unsafe()]
-        result.violations += environment.executed.told_too_much(
-            clients.sent_at, self.patience, DEADLINE_SLACK
+        result.violations += environment.executed.excessive_times_left(
+            clients.sent_at, self.client_timeout, DEADLINE_SLACK
         )
         result.summary = (
             f"{dict(sorted(clients.statuses.items()))}, {len(clients.lost)} lost, {clients.late} late, "
--- a/dahliabend/process_tests/sound_clients.py
+++ b/dahliabend/process_tests/sound_clients.py
@@ -110,7 +110,7 @@
         self,
         name: str,
         environment: ClientEnvironment,
-        patience: float,
+        client_timeout: float,
         rng: Random,
     ) -> None:
         """Create a client without a connection.
@@ -118,14 +118,14 @@
         Args:
             name: Beginning of its requests' trace ids.
             environment: What surrounds it.
-            patience: Seconds that it waits for an answer.
+            client_timeout: Seconds that it waits for an answer.
             rng: Generator of its choices.
         """
         self.name = name
         self.environment = environment
         self.record = environment.clients
         self.executed = environment.executed
-        self.patience = patience
+        self.client_timeout = client_timeout
         self.rng = rng
         self.sent = 0
         self.reader: asyncio.StreamReader | None = None
@@ -203,7 +203,7 @@
         length = f"Content-Length: {len(body)}\r\n" if is_unsafe else ""
         head = (
             f"{start} HTTP/1.1\r\nHost: api\r\nX-Trace-Id: {trace_id}\r\n"
-            f"X-Expires-In-Ms: {round(self.patience * 1000)}\r\n{length}\r\n"
+            f"X-Expires-In-Ms: {round(self.client_timeout * 1000)}\r\n{length}\r\n"
         )
         return head.encode() + body
 
@@ -218,7 +218,9 @@
         if reader is None or writer is None:
             return "not connected"
         try:
-            async with asyncio.timeout_at(asyncio.get_running_loop().time() + self.patience + LATE_ALLOWANCE):
+            async with asyncio.timeout_at(
+                asyncio.get_running_loop().time() + self.client_timeout + LATE_ALLOWANCE
+            ):
                 writer.write(message)
                 await writer.drain()
                 status, headers, body = await read_answer(reader)
@@ -244,7 +246,7 @@
             status, body = result
             record.statuses[status] = record.statuses.get(status, 0) + 1
             record.latencies.append(waited)
-            record.late += waited > self.patience
+            record.late += waited > self.client_timeout
             if status == SERVED and body != trace_id.encode():
                 record.foreign.append(f"{trace_id}: answered with {body[:40]!r}")
 
--- a/dahliabend/proxy/base_dispatcher.py
+++ b/dahliabend/proxy/base_dispatcher.py
@@ -44,19 +44,19 @@
         """Return whether clients are to use another balancer: during a shutdown or an evacuation."""
         return self.shutdown_deadline > 0 or self.evacuated
 
-    def request_shed(self, target: bytes, held_bytes: int) -> None:
+    def request_shed(self, target: bytes, reserved_bytes: int) -> None:
         """Log the rejection of a request that was being received, for lack of memory."""
         shown = target[:MAX_LOGGED_TARGET_BYTES].decode("latin-1")
-        self.log("request.shed", target=shown, held_bytes=held_bytes)
+        self.log("request.shed", target=shown, reserved_bytes=reserved_bytes)
 
-    def connection_closed(self, reason: str, state: str, queued_requests: int, held_bytes: int) -> None:
+    def connection_closed(self, reason: str, state: str, queued_requests: int, reserved_bytes: int) -> None:
         """Log that this process has closed the connection of a client that awaits an answer."""
         self.log(
             "connection.closed",
             reason=reason,
             state=state,
             queued_requests=queued_requests,
-            held_bytes=held_bytes,
+            reserved_bytes=reserved_bytes,
         )
 
     def response_settled(self, trace_id: bytes, *, has_response: bool) -> None:
--- a/dahliabend/proxy/request.py
+++ b/dahliabend/proxy/request.py
@@ -40,7 +40,7 @@
         class_name: Name of the request class, as bytes.
         route_name: Name of the route that the request matched; empty without an operator's file.
         request_line: The request line, with its line end.
-        held_bytes: What the request holds in memory, on the account of the process.
+        reserved_bytes: What the request holds in memory, on the account of the process.
         client_time_limit: How long the client waits (us), minus a margin.
         admitted_at: When the request was created and handed to the policy (us).
         handle: Handle in the router's table of requests; `NO_HANDLE` before it has one.
@@ -64,12 +64,12 @@
         "class_name",
         "client_time_limit",
         "handle",
-        "held_bytes",
         "incoming",
         "is_admission_decided",
         "on_rejected",
         "policy",
         "request_line",
+        "reserved_bytes",
         "route_name",
         "state",
         "succeeded",
@@ -84,7 +84,7 @@
         self.class_name = incoming.client.class_name
         self.route_name = ""
         self.request_line = b"%b %b HTTP/1.1\r\n" % (incoming.method, incoming.target)
-        self.held_bytes = REQUEST_BYTES + len(incoming.headers) + len(incoming.body)
+        self.reserved_bytes = REQUEST_BYTES + len(incoming.headers) + len(incoming.body)
         self.client_time_limit = client_time_limit
         self.admitted_at = clock()
         self.handle = NO_HANDLE
--- a/dahliabend/proxy/router.py
+++ b/dahliabend/proxy/router.py
@@ -173,7 +173,7 @@
                 self.executed.discard(incoming.trace_id)
             incoming.client.send_response(503, b"", b"too many transactions\n")
             return NO_HANDLE
-        self.memory.held += request.held_bytes
+        self.memory.reserved += request.reserved_bytes
         self.trace_ids.add(incoming.trace_id)
         request.on_rejected = on_rejected
         self._admit(request)
@@ -362,7 +362,7 @@
         if not request.policy.open_requests and request.policy is not self.policies[-1]:
             self.policies.remove(request.policy)
         if self.requests.remove(request.handle) is not None:
-            self.memory.held -= request.held_bytes
+            self.memory.reserved -= request.reserved_bytes
             if request.runs_once:
                 self._release_id(request)
         self.trace_ids.discard(request.incoming.trace_id)
--- a/dahliabend/server/log_events.py
+++ b/dahliabend/server/log_events.py
@@ -38,7 +38,7 @@
     "connection.closed": LogEvent(
         "info",
         "this process closed the connection of a client whose request had begun or waited for its response",
-        ("reason", "state", "queued_requests", "held_bytes"),
+        ("reason", "state", "queued_requests", "reserved_bytes"),
     ),
     "demand.reported": LogEvent(
         "info", "this balancer tells the others how many requests it gets", ("weight",)
@@ -85,7 +85,7 @@
     "memory.relieved": LogEvent(
         "warning",
         "the process came close to its memory limit: slow peers were rejected or closed (bytes)",
-        ("resident", "held", "held_now"),
+        ("resident", "reserved", "reserved_now"),
     ),
     "member.changed": LogEvent(
         "info",
@@ -173,7 +173,7 @@
     "request.shed": LogEvent(
         "info",
         "a request was rejected while it was received, as too much memory is held",
-        ("target", "held_bytes"),
+        ("target", "reserved_bytes"),
     ),
     "request_table.exhausted": LogEvent("warning", "more requests than the table holds", ("requests",)),
     "resources.reported": LogEvent(
@@ -182,10 +182,10 @@
         "connections closed, by reason",
         (
             "resident_bytes",
-            "held_bytes",
-            "held_by",
+            "reserved_bytes",
+            "reserved_by",
             "relieved",
-            "longest_turn_ms",
+            "longest_iteration_ms",
             "closed",
         ),
     ),
--- a/dahliabend/server/memory_guard.py
+++ b/dahliabend/server/memory_guard.py
@@ -9,8 +9,8 @@
 from dahliabend.transport.timers import TimerQueue, clock
 
 MEGABYTE = 1 << 20
-CHECK_INTERVAL = 50_000  # microseconds between two readings of the resident memory
-MARGIN_FRACTION = 1 / 32  # of the limit, for what is on no account
+CHECK_INTERVAL = 20_000  # microseconds between two readings of the resident memory
+MARGIN_FRACTION = 1 / 16  # of the limit, for what is on no account
 MIN_MARGIN = 9 * MEGABYTE // 4  # bytes
 MIN_CAPACITY = MEGABYTE  # bytes for peers, however little the limit leaves
 EMERGENCY_FRACTION = 1 / 4  # of the capacity, which is aimed at when the process comes close to its limit
@@ -85,9 +85,14 @@
         self.timers.schedule(clock() + CHECK_INTERVAL, self._check)
         self.resident = host_info.resident_bytes()
         self.memory.relieve_if_needed()
-        if self.resident <= self.limit - self.margin // 2:
+        if self.resident <= self.limit - self.margin:
             return
-        held = self.memory.held
+        reserved = self.memory.reserved
         if self.memory.relieve(int(self.memory.capacity * EMERGENCY_FRACTION), clock()):
             gc.collect()
-            self.log("memory.relieved", resident=self.resident, held=held, held_now=self.memory.held)
+            self.log(
+                "memory.relieved",
+                resident=self.resident,
+                reserved=reserved,
+                reserved_now=self.memory.reserved,
+            )
--- a/dahliabend/server/server.py
+++ b/dahliabend/server/server.py
@@ -18,9 +18,9 @@
 from dahliabend.server.metrics import Metrics
 from dahliabend.transport.descriptor_budget import ADMIN_DESCRIPTORS, PROCESS_DESCRIPTORS, DescriptorBudget
 from dahliabend.transport.listener import Listener
+from dahliabend.transport.loop_budget import LoopBudget
 from dahliabend.transport.memory_budget import MemoryBudget
 from dahliabend.transport.timers import MICROSECONDS_PER_MILLISECOND, TimerQueue, clock
-from dahliabend.transport.turn_budget import TurnBudget
 
 if TYPE_CHECKING:
     from dahliabend.proxy.dispatcher import Dispatcher
@@ -43,7 +43,7 @@
         router: The router of client requests; set by the subclass.
         max_request_time: The longest deadline of any request class so far, in microseconds.
         memory: The account of what the process holds for its peers.
-        turn: Divides the event loop's time among the connections.
+        loop_budget: Divides the event loop's time among the connections.
         memory_guard: Compares the account with the process.
         descriptors: The descriptor budget of client and upstream connections.
         admin_descriptors: The budget of admin connections; separate, so that clients can't use it up.
@@ -79,13 +79,13 @@
         self.timers = TimerQueue(loop, MAX_TIMER_LATENESS)
         reserved = ADMIN_DESCRIPTORS if admin_address else 0
         self.memory = MemoryBudget()
-        self.turn = TurnBudget(loop)
-        self.descriptors = DescriptorBudget(descriptor_limit - reserved, self.memory, self.turn)
+        self.loop_budget = LoopBudget(loop)
+        self.descriptors = DescriptorBudget(descriptor_limit - reserved, self.memory, self.loop_budget)
         self.memory_guard = MemoryGuard(memory_limit, self.memory, self.descriptors, self.timers, log)
         self.metrics = Metrics()
         self.listener = Listener(self.timers, self.descriptors, self.make_client_connection)
         self.admin_descriptors = DescriptorBudget(
-            PROCESS_DESCRIPTORS + ADMIN_DESCRIPTORS, self.memory, self.turn
+            PROCESS_DESCRIPTORS + ADMIN_DESCRIPTORS, self.memory, self.loop_budget
         )
         self.admin_api = AdminApi(self, log)
         self.admin_listener = Listener(self.timers, self.admin_descriptors, self.make_admin_connection)
@@ -193,18 +193,18 @@
 
     def resource_metrics(self) -> dict[str, object]:
         """Return what the process holds in memory, for whom, and the longest turn of its event loop."""
-        held_by = {
+        reserved_by = {
             kind.__name__: sum(
-                holder.held_bytes for holder in self.memory.holders if isinstance(holder, kind)
+                holder.reserved_bytes for holder in self.memory.holders if isinstance(holder, kind)
             )
             for kind in (ClientConnection, UpstreamConnection, WatchConnection)
         }
         return {
             "resident_bytes": self.memory_guard.resident,
-            "held_bytes": self.memory.held,
-            "held_by": held_by,
+            "reserved_bytes": self.memory.reserved,
+            "reserved_by": reserved_by,
             "relieved": self.memory.relieved,
-            "longest_turn_ms": self.turn.take_longest() // MICROSECONDS_PER_MILLISECOND,
+            "longest_iteration_ms": self.loop_budget.take_longest() // MICROSECONDS_PER_MILLISECOND,
             "closed": dict(self.descriptors.closed_by_reason),
         }
 
--- a/dahliabend/transport/buffered_output.py
+++ b/dahliabend/transport/buffered_output.py
@@ -20,7 +20,7 @@
         write_paused: Whether the transport has more bytes than it can write.
         write_paused_at: Clock time (us) at which that was last found.
         write_failed: Whether the kernel refused a write.
-        held_bytes: Bytes on the account for the connection.
+        reserved_bytes: Bytes on the account for the connection.
         closed: Whether the connection is closed or being closed.
         transport: The transport; None before the connection is established and after it is lost.
     """
@@ -33,7 +33,7 @@
         self.write_paused = False
         self.write_paused_at = 0
         self.write_failed = False
-        self.held_bytes = 0
+        self.reserved_bytes = 0
         self.closed = False
         self.transport: asyncio.Transport | None = None
 
@@ -77,7 +77,7 @@
         while not self.write_paused and not self.closed and self.transport is not None:
             if not self.pending:
                 self.output_flushed()
-                if self.held_bytes:
+                if self.reserved_bytes:
                     self.update_output_account()
                 return
             data = self._next_output()
--- a/dahliabend/transport/connection.py
+++ b/dahliabend/transport/connection.py
@@ -9,8 +9,8 @@
 from dahliabend.transport import host_info
 from dahliabend.transport.buffered_output import BufferedOutput
 from dahliabend.transport.descriptor_budget import DescriptorBudget
+from dahliabend.transport.loop_budget import CONNECTION_TIME, RECEIVE_AREA_BYTES
 from dahliabend.transport.timers import clock
-from dahliabend.transport.turn_budget import CONNECTION_TIME, RECEIVE_AREA_BYTES
 
 MIN_STEP = 1024  # bytes; fewer are passed on at once in any case
 # Bytes. Without a limit the kernel's buffer grows to megabytes. Bytes in it count as written, so a peer that
@@ -25,12 +25,12 @@
     Subclasses give the bytes a meaning by overriding `bytes_received`, `output_flushed`, `transport_paused`
     and `connection_closed`. The socket's descriptor counts against the `DescriptorBudget` from the
     constructor until `release`, what is buffered against the `MemoryBudget`, and the processing of input
-    against the `TurnBudget`.
+    against the `LoopBudget`.
 
     Attributes:
         handle: Handle of this connection in the descriptor budget.
         memory: The account of what is buffered.
-        turn: Divides the event loop's time among the connections.
+        loop_budget: Divides the event loop's time among the connections.
         attained_time: Processing time (us) since no input was left.
         last_input_at: Clock time (us) of the last read.
         unprocessed: Bytes that were received and not yet passed to `bytes_received`.
@@ -38,7 +38,7 @@
         parsing_blocked: Whether received bytes have to wait until earlier requests are answered.
         reading_suspended: Whether reading is stopped because the receiver of the bytes is slower.
         is_transport_paused: Whether the transport has been told not to read.
-        is_paused_for_turn: Whether that is so only until the input has been processed in a later turn.
+        is_paused_for_iteration: Whether that is so only until the input has been processed in a later turn.
         unprocessed_since: Clock time (us) since which received bytes may have waited; 0 if none wait.
         may_have_waited: Whether the bytes of the next read may have come long before it.
         may_wait_in_kernel: Whether bytes may have waited in the kernel, because reading was paused.
@@ -51,7 +51,7 @@
         super().__init__()
         self.descriptors = descriptors
         self.memory = descriptors.memory
-        self.turn = descriptors.turn
+        self.loop_budget = descriptors.loop_budget
         self.handle = descriptors.register(self)
         self.attained_time = 0
         self.last_input_at = 0
@@ -60,7 +60,7 @@
         self.parsing_blocked = False
         self.reading_suspended = False
         self.is_transport_paused = False
-        self.is_paused_for_turn = False
+        self.is_paused_for_iteration = False
         self.unprocessed_since = 0
         self.may_have_waited = False
         self.may_wait_in_kernel = False
@@ -107,13 +107,13 @@
 
     def get_buffer(self, _sizehint: int) -> memoryview:
         """Return the buffer for the bytes that the transport reads next; empty while input has to wait."""
-        return self.turn.read_view(RECEIVE_AREA_BYTES - len(self.unprocessed))
+        return self.loop_budget.read_view(RECEIVE_AREA_BYTES - len(self.unprocessed))
 
     def buffer_updated(self, nbytes: int) -> None:
         """Take in `nbytes` bytes that the transport has read."""
         if self.closed:
             return
-        view = self.turn.receive_area[:nbytes]
+        view = self.loop_budget.receive_area[:nbytes]
         now = clock()
         self.last_input_at = now
         if self.unprocessed:
@@ -121,15 +121,15 @@
         elif self.parsing_blocked or self.reading_suspended:
             self.unprocessed += view
             self.unprocessed_since = self.unprocessed_since or now
-        elif self.turn.has_time(now):
-            if self.may_have_waited or self.turn.was_long:
+        elif self.loop_budget.has_time(now):
+            if self.may_have_waited or self.loop_budget.was_long:
                 self._note_waiting_time(now)
             self._process(view, now)
         else:
-            if self.may_have_waited or self.turn.was_long:
+            if self.may_have_waited or self.loop_budget.was_long:
                 self._note_waiting_time(now)
             self.unprocessed += view
-            self.turn.defer(self)
+            self.loop_budget.defer(self)
         self._input_processed()
 
     def _note_waiting_time(self, now: int) -> None:
@@ -161,7 +161,7 @@
             if position == size:
                 break
             if clock() - began_at > CONNECTION_TIME:
-                self.turn.defer(self)
+                self.loop_budget.defer(self)
                 break
         if size > MIN_STEP:
             self.attained_time += clock() - began_at
@@ -171,28 +171,30 @@
     def _input_processed(self) -> None:
         """Pause or resume reading as the rest of the input demands, and account for what is held."""
         waiting = len(self.unprocessed)
-        if self in self.turn.deferred:
-            self._pause_for_turn()
+        if self in self.loop_budget.deferred:
+            self._pause_for_iteration()
         elif waiting >= RECEIVE_AREA_BYTES or self.reading_suspended:
             self.pause_transport()
         elif self.is_transport_paused and self.transport is not None and not self.closed:
             self.is_transport_paused = False
-            self.is_paused_for_turn = False
+            self.is_paused_for_iteration = False
             self.transport.resume_reading()
         if waiting or self.unprocessed_since:
             self._update_waiting_time()
-        held = 0 if self.transport is None else self.buffered_bytes()  # as `update_account`, without its call
-        if held != self.held_bytes:
-            self.memory.set_held(self, held)
-        if self.memory.held > self.memory.high_water:
+        buffered = (
+            0 if self.transport is None else self.buffered_bytes()
+        )  # as `update_account`, without its call
+        if buffered != self.reserved_bytes:
+            self.memory.set_reserved(self, buffered)
+        if self.memory.reserved > self.memory.high_water:
             self.memory.relieve_if_needed()
 
     def update_account(self) -> None:
         """Set what the connection holds on the account, and make room if too much is held in all."""
-        held = 0 if self.transport is None else self.buffered_bytes()
-        if held != self.held_bytes:
-            self.memory.set_held(self, held)
-        if self.memory.held > self.memory.high_water:
+        buffered = 0 if self.transport is None else self.buffered_bytes()
+        if buffered != self.reserved_bytes:
+            self.memory.set_reserved(self, buffered)
+        if self.memory.reserved > self.memory.high_water:
             self.memory.relieve_if_needed()
 
     def _update_waiting_time(self) -> None:
@@ -205,18 +207,18 @@
 
     def pause_transport(self) -> None:
         """Tell the transport not to read."""
-        if self.is_transport_paused and not self.is_paused_for_turn:
+        if self.is_transport_paused and not self.is_paused_for_iteration:
             return
-        self._pause_for_turn()
+        self._pause_for_iteration()
         if self.is_transport_paused:
-            self.is_paused_for_turn = False
+            self.is_paused_for_iteration = False
             self.transport_paused()
 
-    def _pause_for_turn(self) -> None:
+    def _pause_for_iteration(self) -> None:
         """Tell the transport not to read until the connection's input has been processed in a later turn."""
         if not self.is_transport_paused and self.transport is not None and not self.closed:
             self.is_transport_paused = True
-            self.is_paused_for_turn = True
+            self.is_paused_for_iteration = True
             self.may_wait_in_kernel = True
             self.transport.pause_reading()
 
@@ -239,9 +241,9 @@
 
         Other connections give up nothing at once, because this may be called while one processes its input.
         """
-        held = self.buffered_bytes()
-        if held != self.held_bytes:
-            self.memory.set_held(self, held)
+        buffered = self.buffered_bytes()
+        if buffered != self.reserved_bytes:
+            self.memory.set_reserved(self, buffered)
 
     # Closing
 
@@ -317,7 +319,7 @@
         self.closed = True
         self.has_failed = error is not None
         self.release()
-        self.turn.forget(self)
+        self.loop_budget.forget(self)
         self.unprocessed = bytearray()
         if self.sock is not None:
             # Shut down first, so that the peer is notified before `connection_closed` starts other work.
--- a/dahliabend/transport/descriptor_budget.py
+++ b/dahliabend/transport/descriptor_budget.py
@@ -5,8 +5,8 @@
 from typing import NamedTuple, Protocol
 
 from dahliabend.transport.handles import NO_HANDLE, HandleTable
+from dahliabend.transport.loop_budget import LoopBudget
 from dahliabend.transport.memory_budget import CONNECTION_BYTES, MemoryBudget
-from dahliabend.transport.turn_budget import TurnBudget
 
 ADMIN_DESCRIPTORS = 16  # part of the limit, reserved for operators and never used for clients
 PROCESS_DESCRIPTORS = 16  # not connections: standard streams, listener, event loop, files read at the start
@@ -77,21 +77,21 @@
         limit: Largest number of connections of this process.
         limit_before_reserve: Number of connections from which on the reserve is used.
         memory: The account of what the process holds for its peers, with these connections.
-        turn: Divides the event loop's time among the connections.
+        loop_budget: Divides the event loop's time among the connections.
     """
 
     def __init__(
-        self, limit: int, memory: MemoryBudget | None = None, turn: TurnBudget | None = None
+        self, limit: int, memory: MemoryBudget | None = None, loop_budget: LoopBudget | None = None
     ) -> None:
         """Create a budget without connections.
 
         Args:
             limit: Descriptors that this process may have open, `PROCESS_DESCRIPTORS` included.
             memory: The account of the memory of the process; None: unlimited.
-            turn: Divides the event loop's time; None: it is not divided.
+            loop_budget: Divides the event loop's time; None: it is not divided.
         """
         self.memory = memory or MemoryBudget()
-        self.turn = turn or TurnBudget()
+        self.loop_budget = loop_budget or LoopBudget()
         self.connections: HandleTable[ManagedConnection] = HandleTable(limit - PROCESS_DESCRIPTORS)
         self.idle: dict[int, int] = {}
         self.slow_after: dict[int, int] = {}
@@ -166,7 +166,7 @@
         """Take a descriptor for a connection; return the connection's handle."""
         handle = self.connections.add(connection)
         if handle != NO_HANDLE:
-            self.memory.held += CONNECTION_BYTES
+            self.memory.reserved += CONNECTION_BYTES
         return handle
 
     def mark_idle(self, handle: int, now: int) -> None:
@@ -220,4 +220,4 @@
         self.mark_busy(handle)
         self.evicting.discard(handle)
         if self.connections.remove(handle) is not None:
-            self.memory.held -= CONNECTION_BYTES
+            self.memory.reserved -= CONNECTION_BYTES
--- a/dahliabend/transport/turn_budget.py
+++ b/dahliabend/transport/loop_budget.py
@@ -7,10 +7,10 @@
 
 RECEIVE_AREA_BYTES = 8192  # largest single read
 # Microseconds.
-TURN_TIME = 5_000  # of processing input in one turn, for all connections together
+ITERATION_TIME = 5_000  # of processing input in one turn, for all connections together
 CONNECTION_TIME = 1_000  # of that, for one connection
 MIN_GAP = 2_000  # without input, after which no turn is under way that has had input
-LONG_TURN = 20_000
+LONG_ITERATION = 20_000
 MAX_WAIT = 100_000  # until a connection that waits is due, however much processing time it has had
 WAIT_PER_ATTAINED = 32  # by what multiple of its processing time a connection is due later
 
@@ -28,7 +28,7 @@
         """Process input until none is left or the connection's share of the turn is used up."""
 
 
-class TurnBudget:
+class LoopBudget:
     """Divides the time of a turn: what can't be processed in it waits for the next turns.
 
     A connection that waits is due the later, the more processing time it has had, and the first one due goes
@@ -41,7 +41,7 @@
         receive_area: The buffer of all reads.
         is_over: Whether the time of this turn is used up.
         was_long: Whether the last turn with input was so long that input has waited for it.
-        longest_turn: Longest time (us) between the beginnings of two turns with input, since `take_longest`.
+        longest_iteration: Longest time (us) between two turns with input, since `take_longest`.
         deferred: The connections that wait, each with the clock time (us) from which it is due.
     """
 
@@ -54,7 +54,7 @@
         self.loop = loop
         self.receive_area = memoryview(bytearray(RECEIVE_AREA_BYTES))
         self.is_over = False
-        self.longest_turn = 0
+        self.longest_iteration = 0
         self.was_long = False
         self.deferred: dict[InputProcessor, int] = {}
         self._began_at = 0
@@ -73,12 +73,12 @@
         come without a gap for as long as a turn may last.
         """
         if self._is_running:
-            if now >= self._began_at + TURN_TIME:
+            if now >= self._began_at + ITERATION_TIME:
                 self.is_over = True
             return not self.is_over
         if now - self._last_input_at > MIN_GAP:
             self._burst_began_at = now
-        elif now - self._burst_began_at > TURN_TIME:
+        elif now - self._burst_began_at > ITERATION_TIME:
             self._begin(now)
         self._last_input_at = now
         return True
@@ -88,7 +88,7 @@
         self.is_over = False
         if self.loop is not None:
             self._is_running = True
-            self.loop.call_soon(self._next_turn)
+            self.loop.call_soon(self._next_iteration)
 
     def defer(self, connection: InputProcessor) -> None:
         """Let a connection process its input in a later turn."""
@@ -101,12 +101,12 @@
         """Remove a connection that has been closed."""
         self.deferred.pop(connection, None)
 
-    def _next_turn(self) -> None:
+    def _next_iteration(self) -> None:
         """Begin the next turn with the connections that wait."""
         now = clock()
         duration = now - self._began_at
-        self.was_long = duration > LONG_TURN
-        self.longest_turn = max(self.longest_turn, duration)
+        self.was_long = duration > LONG_ITERATION
+        self.longest_iteration = max(self.longest_iteration, duration)
         self._is_running = False
         self._burst_began_at = now
         if not self.deferred:
@@ -123,6 +123,6 @@
 
     def take_longest(self) -> int:
         """Return the longest turn (us) since the last call."""
-        longest = self.longest_turn
-        self.longest_turn = 0
+        longest = self.longest_iteration
+        self.longest_iteration = 0
         return longest
--- a/dahliabend/transport/memory_budget.py
+++ b/dahliabend/transport/memory_budget.py
@@ -6,8 +6,8 @@
 from dahliabend.transport.timers import clock
 
 # What an open connection holds with nothing buffered: its objects, its parser and its transport.
-CONNECTION_BYTES = 6 * 1024
-CONNECTIONS_FRACTION = 5 / 16  # of the capacity, for connections with nothing buffered
+CONNECTION_BYTES = 9 * 1024
+CONNECTIONS_FRACTION = 3 / 8  # of the capacity, for connections with nothing buffered
 HIGH_WATER = 1 / 2  # of the capacity: above it, holders have to give up what they hold
 LOW_WATER = 3 / 8  # of the capacity, which is then aimed at
 FULL = 5 / 8  # of the capacity: above it, no request is admitted
@@ -22,10 +22,10 @@
     """A connection that holds bytes of its peer, or for it.
 
     Attributes:
-        held_bytes: The bytes that are on the account for it; only `MemoryBudget` changes it.
+        reserved_bytes: The bytes that are on the account for it; only `MemoryBudget` changes it.
     """
 
-    held_bytes: int
+    reserved_bytes: int
 
     def relief_rank(self, now: int) -> int | None:
         """Return in which order it has to give up its bytes, the smallest first; None: it can't."""
@@ -45,19 +45,19 @@
     >>> budget = MemoryBudget(800_000)
     >>> budget.allowance(), budget.is_full()
     (50000, False)
-    >>> budget.held = 720_000; budget.allowance(), budget.is_full()
+    >>> budget.reserved = 720_000; budget.allowance(), budget.is_full()
     (5000, True)
 
     Attributes:
-        capacity: Bytes that may be held.
-        held: Bytes on the account.
+        capacity: Bytes that may be reserved.
+        reserved: Bytes on the account.
         peak: Largest number of bytes seen on the account at a relief or a report.
         relieved: How many times a holder has given up what it held.
         holders: The connections that hold more than themselves.
     """
 
     def __init__(self, capacity: int = UNLIMITED) -> None:
-        self.held = 0
+        self.reserved = 0
         self.peak = 0
         self.relieved = 0
         self.holders: dict[MemoryHolder, None] = {}
@@ -65,7 +65,7 @@
         self.set_capacity(capacity)
 
     def set_capacity(self, capacity: int) -> None:
-        """Set the number of bytes that may be held."""
+        """Set the number of bytes that may be reserved."""
         self.capacity = capacity
         self.high_water = int(capacity * HIGH_WATER)
         self.low_water = int(capacity * LOW_WATER)
@@ -78,17 +78,17 @@
 
     def is_full(self) -> bool:
         """Return whether no further request may be admitted."""
-        return self.held > self.full
+        return self.reserved > self.full
 
     def allowance(self) -> int:
         """Return how many bytes one direction of a connection may buffer now."""
-        free = (self.capacity - self.held) // ALLOWANCE_DIVISOR
+        free = (self.capacity - self.reserved) // ALLOWANCE_DIVISOR
         return max(MIN_ALLOWANCE, min(MAX_ALLOWANCE, free))
 
-    def set_held(self, holder: MemoryHolder, count: int) -> None:
+    def set_reserved(self, holder: MemoryHolder, count: int) -> None:
         """Set the number of bytes that a connection holds."""
-        self.held += count - holder.held_bytes
-        holder.held_bytes = count
+        self.reserved += count - holder.reserved_bytes
+        holder.reserved_bytes = count
         if count:
             self.holders[holder] = None
         else:
@@ -99,11 +99,11 @@
 
         It has to be called from the event loop only, never while a connection processes its input.
         """
-        if self.held > self.high_water:
+        if self.reserved > self.high_water:
             now = clock()
             if now >= self._next_relief:
                 self.relieve(self.low_water, now)
-                if self.held > self.low_water:
+                if self.reserved > self.low_water:
                     self._next_relief = now + RELIEF_PAUSE
 
     def relieve(self, target: int, now: int) -> bool:
@@ -112,10 +112,10 @@
         Returns:
             Whether any holder has given up anything.
         """
-        self.peak = max(self.peak, self.held)
+        self.peak = max(self.peak, self.reserved)
         relieved_before = self.relieved
         for holder in _by_rank(self.holders, now):
-            if self.held <= target:
+            if self.reserved <= target:
                 break
             holder.relieve()
             self.relieved += 1
@@ -128,5 +128,5 @@
     for holder in holders:
         rank = holder.relief_rank(now)
         if rank is not None:
-            ranked.append((rank, -holder.held_bytes, len(ranked), holder))
+            ranked.append((rank, -holder.reserved_bytes, len(ranked), holder))
     return [entry[-1] for entry in sorted(ranked)]
--- a/tests/http/test_client_connection.py
+++ b/tests/http/test_client_connection.py
@@ -20,8 +20,8 @@
 from dahliabend.transport.connection import Connection
 from dahliabend.transport.descriptor_budget import DescriptorBudget
 from dahliabend.transport.handles import HandleTable
+from dahliabend.transport.loop_budget import RECEIVE_AREA_BYTES
 from dahliabend.transport.timers import clock
-from dahliabend.transport.turn_budget import RECEIVE_AREA_BYTES
 
 
 def test_a_client_that_pipelines_without_reading_is_not_read_from_any_further():
--- a/tests/transport/test_memory_budget.py
+++ b/tests/transport/test_memory_budget.py
@@ -10,15 +10,15 @@
 
 class Holder:
     def __init__(self, memory, count, rank=0):
-        self.memory, self.rank, self.held_bytes, self.relieved = memory, rank, 0, False
-        memory.set_held(self, count)
+        self.memory, self.rank, self.reserved_bytes, self.relieved = memory, rank, 0, False
+        memory.set_reserved(self, count)
 
     def relief_rank(self, now):
         return self.rank
 
     def relieve(self):
         self.relieved = True
-        self.memory.set_held(self, 0)
+        self.memory.set_reserved(self, 0)
 
 
 @pytest.fixture
@@ -28,10 +28,10 @@
 
 def test_what_a_holder_no_longer_holds_is_off_the_account(memory):
     holder = Holder(memory, 500)
-    memory.set_held(holder, 200)
-    assert memory.held == 200
-    memory.set_held(holder, 0)
-    assert memory.held == 0
+    memory.set_reserved(holder, 200)
+    assert memory.reserved == 200
+    memory.set_reserved(holder, 0)
+    assert memory.reserved == 0
     assert not memory.holders
 
 
@@ -47,7 +47,7 @@
     memory.relieve_if_needed()
     assert (small_slow.relieved, large.relieved) == (True, True)
     assert (small.relieved, unable.relieved) == (False, False)
-    assert memory.held <= memory.low_water
+    assert memory.reserved <= memory.low_water
 
 
 def test_a_relief_that_does_not_free_enough_is_not_repeated_at_once(memory, monkeypatch):
@@ -68,5 +68,5 @@
     memory = MemoryBudget(100_000_000)
     for _ in range(holders):
         Holder(memory, memory.allowance())
-    assert memory.held < 0.95 * memory.capacity
+    assert memory.reserved < 0.95 * memory.capacity
     assert MIN_ALLOWANCE <= memory.allowance() <= MAX_ALLOWANCE
