--- a/dahliabend/transport/listener.py
+++ b/dahliabend/transport/listener.py
@@ -13,8 +13,8 @@
 BACKLOG = 1024  # connections that may wait in the kernel's queue
 MAX_ACCEPTS_AT_ONCE = 64  # connections accepted before other events are handled
 MAX_ACCEPT_TIME = 4_000  # microseconds spent on accepting before other events are handled
-# Microseconds by which connections that are slow to send their request are evicted earlier while the listener is
-# being closed, and where memory allows few connections: others wait.
+# Microseconds by which connections that are slow to send their request are evicted earlier while the listener
+# is being closed, and where memory allows few connections: others wait.
 EARLIER_EVICTION = 250_000
 RETRY_DELAY = 5_000  # microseconds until the next attempt to accept, if no descriptor is left
 
--- a/tests/transport/test_descriptor_budget.py
+++ b/tests/transport/test_descriptor_budget.py
@@ -71,7 +71,7 @@
     assert rejected == [slow, fast]
 
 
-# Guards against a fault found at 32 MB: 900 silent clients before 64 connections kept sound ones waiting over 2 s.
+# Guards against a fault found at 32 MB: 900 silent clients before 64 connections kept others waiting.
 def test_the_budget_says_whether_memory_allows_fewer_connections_than_there_are_descriptors():
     assert not DescriptorBudget(1024).is_limited_by_memory
     budget = DescriptorBudget(1024, MemoryBudget(1_000_000))
