Review: a late second answer is passed on as the answer to another request

Cause: a connection to an upstream is reused once it has been idle for an eighth of the connect timeout, 9.4 ms with 75 ms, and shows no unread byte. A second copy of an answer that is under way at that moment is taken for the answer to the next request.

Nothing is fixed.

--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Plays the case of this folder; exit status 1: the rule was broken, 0: it held, 2: the case could not run.
+cd "$(dirname "$0")" || exit 2
+exec env PYTHONPATH=../stand_ins_2 ../../.venv/bin/python -B case.py
