Review: a listed upstream can't be taken out after 4,096 other ids

Cause: the ids that an operator may take out are the last 4,096 in the order in which they were first listed. The oldest is dropped although it may still be listed; the call for it is answered 404.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,103 +1,126 @@
-"""The return of discovery: is a drain that it tells then kept within the grace of the settings?"""
+"""Taking an upstream out of a large fleet: is the ban kept after many others were replaced?"""
 
 import asyncio
+import json
 import random
+import resource
 
-from rig import STATUS_OK, Balancer, Case, Client, Upstream, main, profile, settings, trouble
+from rig import (
+    STATUS_OK,
+    Case,
+    CaseError,
+    Client,
+    Discovery,
+    Upstream,
+    get_status,
+    main,
+    profile,
+    settings,
+    trouble,
+)
 
-BALANCERS = 6
-UPSTREAMS = 16
-DRAINING = 4  # a quarter of the upstreams
-RATE = 40.0  # requests a second at each balancer
-WORK = (0.02, 0.06)  # seconds
-GRACE = 0.5  # seconds, `stop-sending-within`
+FLEET = 3200  # upstreams, the largest fleet that the pages name
+REPLACED = 0.6  # "six in ten upstreams are replaced within 7 s"
+REPLACE_TIME = 7.0  # seconds
+STEPS = 14
+RATE = 100.0  # requests a second
+WORK = (0.01, 0.03)  # seconds
+BALANCERS = 20
+RECENT = 5.0  # seconds before the replacement in which the upstream was used
+BEFORE = 14.0  # seconds of traffic before the replacement
+BAN_AFTER = 1.0  # seconds after the call, if there was no yes
 SLACK = 0.05  # seconds by which each limit is longer on sockets
-OWN_LATENESS = 0.05  # seconds that the stand-ins may be late
-CALM = 3.0  # seconds before the outage
-OUTAGE = 8.0  # seconds
-DRAIN_BEGINS = 6.0  # seconds after the begin of the outage
-AFTER = 4.0  # seconds of traffic after the return
-EXPIRES_MS = 1500
+OWN_LATENESS = 0.2  # seconds that the stand-ins may be late
+AFTER = 15.0  # seconds of traffic after the call
+EXPIRES_MS = 2000
 
 
-async def traffic(case: Case, clients: list[Client], until: float, seed: int) -> None:
-    """Send requests to one balancer at random times."""
-    chance = random.Random(seed)
+async def traffic(clients: list[Client], is_over: asyncio.Event) -> None:
+    """Send requests at random times."""
+    chance = random.Random(12)
     free = list(clients)
     calls = []
 
     async def call(client: Client) -> None:
-        await client.call("POST", "/take-payment", EXPIRES_MS)
+        await client.call("GET", "/reading-query", EXPIRES_MS)
         free.append(client)
 
-    while case.record.now() < until:
+    while not is_over.is_set():
         await asyncio.sleep(chance.expovariate(RATE))
         if free:
             calls.append(asyncio.ensure_future(call(free.pop(0))))
     await asyncio.gather(*calls)
 
 
-def late_sends(draining: list[Upstream], told_at: float) -> list[str]:
-    """Return the requests that began to arrive at a draining upstream after the grace."""
-    latest = told_at + GRACE + SLACK + OWN_LATENESS
-    return [
-        f"{arrival.trace_id} began at {upstream.name} {arrival.began_at - told_at:.3f} s after it was told"
-        for upstream in draining
-        for arrival in upstream.arrivals
-        if arrival.began_at > latest
-    ]
+def fleet_address(number: int) -> str:
+    """Return the loopback address of an upstream's machine."""
+    return f"127.0.{1 + number // 250}.{1 + number % 250}"
+
+
+async def replace(case: Case, discovery: Discovery, gone: list[Upstream]) -> None:
+    """Replace upstreams step by step: new ids, on the machines of those that have gone."""
+    step = len(gone) // STEPS + 1
+    for index in range(STEPS):
+        old = gone[index * step : (index + 1) * step]
+        new = [Upstream(case.record, f"t-{index:02d}{number:04d}", work) for number in range(len(old))]
+        for before, after in zip(old, new, strict=True):
+            await after.open(before.address[0])
+        case.servers += new
+        if old:
+            discovery.put_all(
+                [upstream.entry("removed") for upstream in old] + [upstream.entry() for upstream in new]
+            )
+        await asyncio.sleep(REPLACE_TIME / STEPS)
+
+
+def work() -> float:
+    """Return the seconds that a request takes."""
+    return random.uniform(*WORK)
 
 
 async def play(case: Case) -> list[str]:
-    """Return the requests that a draining upstream got too late."""
+    """Return the requests that the upstream got after it was taken out."""
+    limit = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
     discovery = await case.discovery()
-    upstreams = await case.upstreams(UPSTREAMS, lambda: random.uniform(*WORK))
+    upstreams = [Upstream(case.record, f"s-{number:04d}", work) for number in range(FLEET)]
+    for number, upstream in enumerate(upstreams):
+        await upstream.open(fleet_address(number))
+    case.servers += upstreams
     discovery.put_all([upstream.entry() for upstream in upstreams])
-    classes = [
-        profile("take-payment", "deduplicated", 1500.0, 3000.0, group="zone", **{"dedup-window": 6000.0})
-    ]
-    balancers: list[Balancer] = []
-    for number in range(BALANCERS):
-        balancer = case.balancer(f"n{number}")
-        table = settings(
-            classes,
-            caps={"dial-timeout": 120.0, "conn-idle": 15000.0, "most-hops": 4},
-            contract={
-                "cold": 23000.0, "cold-share": 0.12, "fall-multiple": 3.0,
-                "stop-sending-within": 1000 * GRACE,
-            },
-        )  # fmt: skip
-        balancer.write_config(
-            discovery.address, discovery.listing(), table | {"balancers": BALANCERS, "self-index": number}
-        )
-        await balancer.start(discovery.address)
-        balancers.append(balancer)
-    for balancer in balancers:
-        await balancer.wait_ready()
-    return_at = case.record.now() + CALM + OUTAGE
-    groups = [
-        [case.client(balancer.address, f"c-{number}") for number in range(20)] for balancer in balancers
-    ]
-    calls = [
-        asyncio.ensure_future(traffic(case, group, return_at + AFTER, seed))
-        for seed, group in enumerate(groups)
-    ]
-    await asyncio.sleep(CALM)
-    if trouble():
-        discovery.go_down()
-    await asyncio.sleep(DRAIN_BEGINS if trouble() else OUTAGE)
-    draining = upstreams[:DRAINING]
-    discovery.put_all([upstream.entry("draining") for upstream in draining])
-    if trouble():
-        await asyncio.sleep(OUTAGE - DRAIN_BEGINS)
-        discovery.come_back()
-    told_at = case.record.now()
-    case.record.add(f"told: {', '.join(upstream.name for upstream in draining)} drain")
-    await asyncio.gather(*calls)
-    answers = [answer for group in groups for client in group for answer in client.answers]
+    balancer = case.balancer("n0")
+    classes = [profile("reading-query", "idempotent", 2000.0, 5000.0)]
+    balancer.write_config(discovery.address, discovery.listing(), settings(classes, balancers=BALANCERS))
+    await balancer.start(discovery.address)
+    await balancer.wait_ready()
+    is_over = asyncio.Event()
+    clients = [case.client(balancer.address, f"c-{number}") for number in range(40)]
+    calls = asyncio.ensure_future(traffic(clients, is_over))
+    await asyncio.sleep(BEFORE)
+    recent = case.record.now() - RECENT
+    used = [each for each in upstreams if any(arrival.began_at > recent for arrival in each.arrivals)]
+    target = used[0]  # in use, and stays
+    others = [upstream for upstream in upstreams if upstream is not target]
+    random.Random(12).shuffle(others)
+    await replace(case, discovery, others[: int(FLEET * REPLACED)] if trouble() else [])
+    body = json.dumps({"target": target.name}).encode()
+    status = await get_status(balancer.admin, "PUT", "/api/exclude", body)
+    called_at = case.record.now()
+    case.record.add(f"operator: take out {target.name}, which is listed as up: answer {status}")
+    await asyncio.sleep(AFTER)
+    is_over.set()
+    await calls
+    answers = [answer for client in clients for answer in client.answers]
     served = sum(answer.status == STATUS_OK for answer in answers)
     case.record.add(f"{len(answers)} requests, {served} served")
-    return late_sends(draining, told_at)
+    if not served:
+        raise CaseError("nothing was served")
+    latest = called_at + BAN_AFTER + SLACK + OWN_LATENESS
+    return [
+        f"{arrival.trace_id} began at {target.name} {arrival.began_at - called_at:.2f} s after the call"
+        for arrival in target.arrivals
+        if arrival.began_at > latest
+    ]
 
 
 main(__file__, play)
