Review: clients that take seconds to read long answers are reset for want of memory

Cause: above its mark the guard of the memory makes holders give up what they hold, and takes a client whose output has been paused for 0.1 s for one that reads nothing. It resets clients that read steadily.

Change: case 7 with its claim, in place of the one on late second answers, which `review/2` shows already.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,14 +1,15 @@
-"""Late second answers: does a client get the answer that was made for another request?"""
+"""Long answers to clients that take seconds to read: are they passed on whole?"""
 
 import asyncio
-import os
-import random
+import json
 import socket
+import uuid
 
 from rig import (
-    STATUS_OK,
+    HEAD_END,
+    Address,
     Case,
-    Client,
+    Record,
     Upstream,
     encode,
     main,
@@ -18,102 +19,102 @@
     trouble,
 )
 
-DURATION = 80.0  # seconds of traffic
-RATE = 160.0  # requests a second
+MEMORY_MB = 48  # limit of the balancer
+CLIENTS = 340  # a third of the 1,024 descriptors
+ANSWER_BYTES = 3_000_000
+PIECE = 64 * 1024  # bytes that a client reads at once
+PAUSE = 0.25  # seconds between two reads of a client that takes seconds to read
+BETWEEN_CLIENTS = 0.02  # seconds
+EXPIRES_MS = 3000
 UPSTREAMS = 4
-SECOND_ANSWERS = 0.2  # share of the answers that are followed by a second copy
-SECOND_DELAY = (0.002, 0.014)  # seconds: "some milliseconds late"
-WORK = (0.01, 0.03)  # seconds
-EXPIRES_MS = 2000
+RECEIVE_BUFFER = 64 * 1024  # bytes of a client's system
 
 
-class DoublingUpstream(Upstream):
-    """Sends some answers a second time, late, unless anything has come on the connection by then."""
-
-    chance = random.Random(6)
+class LongUpstream(Upstream):
+    """Answers each request at once with a long body, as fast as it is read."""
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve the requests of a connection one by one."""
-        sock = socket.socket(fileno=os.dup(writer.get_extra_info("socket").fileno()))
-        sock.setblocking(False)
-        first = b""
-        try:
-            while (message := await read_message(reader, self.record.now, first=first)) is not None:
-                first = b""
-                path = message.first_line.split(" ")[1]
-                trace_id = message.headers.get("x-trace-id", "")
-                self.record.add(f"{self.name}: run {trace_id} {path}")
-                await asyncio.sleep(random.uniform(*WORK))
-                answer = encode("HTTP/1.1 200 OK", {}, self.body_for(trace_id))
-                writer.write(answer)
-                if not path.startswith("/-/") and trouble() and self.chance.random() < SECOND_ANSWERS:
-                    first = await self.answer_again(reader, writer, sock, answer)
-        finally:
-            sock.close()
-
-    async def answer_again(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, sock: socket.socket, answer: bytes
-    ) -> bytes:
-        """Send an answer again, or return the first byte of the next request if that comes before."""
-        try:
-            return await asyncio.wait_for(reader.read(1), self.chance.uniform(*SECOND_DELAY))
-        except TimeoutError:
-            pass
-        try:
-            sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:  # nothing else waits on the connection
-            writer.write(answer)
-            self.record.add(f"{self.name}: second copy of {answer.partition(b'answer to ')[2].decode()!r}")
-        return b""
-
-
-async def traffic(case: Case, clients: list[Client]) -> None:
-    """Send requests of both classes at random times."""
-    chance = random.Random(1)
-    calls = []
-    end = case.record.now() + DURATION
-    free = list(clients)
-
-    async def call(client: Client) -> None:
-        if chance.random() < 0.5:  # noqa: PLR2004 - half of each class
-            await client.call("GET", "/reading-query", EXPIRES_MS)
-        else:
-            await client.call("POST", "/reading-submit", EXPIRES_MS)
-        free.append(client)
-
-    while case.record.now() < end:
-        await asyncio.sleep(chance.expovariate(RATE))
-        if free:
-            calls.append(asyncio.ensure_future(call(free.pop(0))))
-    await asyncio.gather(*calls)
+        while (message := await read_message(reader, self.record.now)) is not None:
+            path = message.first_line.split(" ")[1]
+            if path.startswith("/-/"):
+                writer.write(encode("HTTP/1.1 200 OK", {}, b"ok\n"))
+                continue
+            trace_id = message.headers.get("x-trace-id", "")
+            self.record.add(f"{self.name}: run {trace_id} {path}")
+            try:
+                writer.write(encode("HTTP/1.1 200 OK", {}, b"a" * ANSWER_BYTES))
+                await writer.drain()
+            except OSError as error:
+                self.record.add(f"{self.name}: {trace_id} connection ended: {error!r}")
+                raise
+            self.record.add(f"{self.name}: {trace_id} sent whole")
+
+
+async def download(record: Record, address: Address) -> str:
+    """Ask for a long answer and read it; return what went wrong, or nothing."""
+    loop = asyncio.get_running_loop()
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+    sock.setblocking(False)
+    trace_id = uuid.uuid4().hex[:16]
+    received = bytearray()
+    began_at = record.now()
+    record.add(f"client: send {trace_id} GET /reading-query")
+    try:
+        await loop.sock_connect(sock, address)
+        head = {"Host": "api.internal", "X-Trace-Id": trace_id, "X-Expires-In-Ms": str(EXPIRES_MS)}
+        await loop.sock_sendall(sock, encode("GET /reading-query HTTP/1.1", head, b""))
+        while missing(received):
+            data = await loop.sock_recv(sock, PIECE)
+            if not data:
+                break
+            received += data
+            if trouble():
+                await asyncio.sleep(PAUSE)
+    except OSError as error:
+        record.add(f"client: {trace_id} {error!r}")
+    finally:
+        sock.close()
+    status, _, body = received.partition(HEAD_END)
+    text = f"{trace_id}: {bytes(status[:12])!r}, {len(body)} bytes in {record.now() - began_at:.2f} s"
+    record.add(f"client: {text}")
+    is_cut = status.startswith(b"HTTP/1.1 200") and missing(received)
+    return f"{text}, {missing(received)} bytes missing" if is_cut else ""
+
+
+def missing(received: bytearray) -> int:
+    """Return how many bytes of an answer are missing, at least one."""
+    head, end, body = received.partition(HEAD_END)
+    if not end:
+        return 1
+    stated = bytes(head).lower().partition(b"content-length: ")[2].partition(b"\r\n")[0]
+    return max(0, int(stated or b"0") - len(body))
 
 
 async def play(case: Case) -> list[str]:
-    """Return the requests that were served with the answer to another one."""
+    """Return the answers that were cut off."""
     discovery = await case.discovery()
     for number in range(UPSTREAMS):
-        upstream = DoublingUpstream(case.record, f"s-{number}", lambda: 0.0)
+        upstream = LongUpstream(case.record, f"s-{number}", lambda: 0.0)
         await upstream.open()
         case.servers.append(upstream)
         discovery.put(**upstream.entry())
     balancer = case.balancer("n0")
-    classes = [
-        profile("reading-query", "idempotent", 2000.0, 5000.0),
-        profile("reading-submit", "at_most_once", 2500.0, 6000.0, revenue=10.0),
-    ]
+    classes = [profile("reading-query", "idempotent", 2000.0, 5000.0)]
     balancer.write_config(discovery.address, discovery.listing(), settings(classes, balancers=1))
+    config = json.loads(balancer.config_path.read_text())
+    config["limits"]["memory_mb"] = MEMORY_MB
+    balancer.config_path.write_text(json.dumps(config))
     await balancer.start(discovery.address)
     await balancer.wait_ready()
-    clients = [case.client(balancer.address, f"c-{number}") for number in range(60)]
-    await traffic(case, clients)
-    answers = [answer for client in clients for answer in client.answers]
-    served = [answer for answer in answers if answer.status == STATUS_OK]
-    case.record.add(f"{len(answers)} requests, {len(served)} served")
-    return [
-        f"{answer.trace_id} ({answer.path}) was served with {answer.body!r}"
-        for answer in served
-        if answer.body != f"answer to {answer.trace_id}\n".encode()
-    ]
+
+    async def later(number: int) -> str:
+        await asyncio.sleep(number * BETWEEN_CLIENTS)
+        return await download(case.record, balancer.address)
+
+    results = await asyncio.gather(*[later(number) for number in range(CLIENTS)])
+    return [text for text in results if text]
 
 
 main(__file__, play)
