--- a/review/8/case.py
+++ b/review/8/case.py
@@ -58,8 +58,12 @@
 
 
 async def replace(case: Case, discovery: Discovery, gone: list[Upstream]) -> None:
-    """Replace upstreams step by step: new ids, on the machines of those that have gone."""
+    """Replace upstreams step by step: new ids, on the machines of those that have gone.
+
+    Those that have gone end half a second later, when their last requests are over.
+    """
     step = len(gone) // STEPS + 1
+    ending: list[Upstream] = []
     for index in range(STEPS):
         old = gone[index * step : (index + 1) * step]
         new = [Upstream(case.record, f"t-{index:02d}{number:04d}", work) for number in range(len(old))]
@@ -70,6 +74,9 @@
             discovery.put_all(
                 [upstream.entry("removed") for upstream in old] + [upstream.entry() for upstream in new]
             )
+        for upstream in ending:
+            upstream.close()
+        ending = old
         await asyncio.sleep(REPLACE_TIME / STEPS)
 
 
