Long answers come whole at clients that read slowly: added output is on the account at once

Cause: output that was added while the kernel took none was on no account (BufferedOutput.write), so that each slow reader held 64 KiB and counted with 8. The allowance was measured against the whole capacity, far above the mark at which holders give up, and a client counted as one that does not read after 0.1 s without a writable transport.

Evidence: resident memory reached its margin first (+14.6 MB, the account 6.7 of 18.8 MB); tracemalloc with 150 such clients: 8.3 MB of pieces made in write(), 1.2 of them on the account. An idle connection costs 3 to 6 KB, not the cause.

Change: the account has added output at once; an eighth of the capacity is shared by buffers, reads and uploads keep to it; a connection counts with 6 KiB of a quarter of the capacity (9 of 3/8 before: as many connections); a client has stopped if its system acknowledges nothing for 2.5 s; one that reads is reset only as a last resort. resources.reported and memory.relieved have what the process holds beyond the account.

--- a/dahliabend/http/client_connection.py
+++ b/dahliabend/http/client_connection.py
@@ -16,6 +16,7 @@
 from dahliabend.transport.disconnect_detection import CLIENT_LEFT
 from dahliabend.transport.handles import NO_HANDLE
 from dahliabend.transport.loop_budget import RECEIVE_AREA_BYTES
+from dahliabend.transport.memory_budget import ReliefRank
 from dahliabend.transport.timers import MICROSECONDS_PER_MILLISECOND, TimerQueue, clock
 
 # Microseconds.
@@ -24,11 +25,10 @@
 MIN_UPLOAD_TIME = 1_000_000  # from which age on a streamed body is given up if clients wait for a descriptor
 MIN_LINGER_TIME = 100_000  # for a client that goes on sending, if others wait for a descriptor
 LINGER_DIVISOR = 4  # of the write timeout: time for the client to close after the final response
-RELIEF_DELAY = 100_000  # without a byte, until an incomplete request or an unread response counts as slow
+RELIEF_DELAY = 100_000  # without a byte, until an incomplete request counts as slow
 
 HEAD_STEP = MIN_STEP  # bytes of a head parsed at once; a head can consist of very many fields
 QUEUED_REQUEST_BYTES = 4096  # that a parsed request holds beside its headers and its body
-SLOW, RECENT = range(2)  # ranks of the connections that have to give up what they hold
 # Reasons for the log.
 OUT_OF_MEMORY = "memory"
 
@@ -262,20 +262,19 @@
             held += len(self.upload.beginning)
         return held
 
-    def relief_rank(self, now: int) -> int | None:
-        """Return `SLOW` or `RECENT` for an incomplete request or a response that waits for its client.
+    def relief_rank(self, now: int) -> ReliefRank | None:
+        """Return the rank of an incomplete request or of a response that waits for its client.
 
         All else has been taken on and has to be answered.
         """
         if self.closed:
             return None
         if self.write_paused:
-            since = self.write_paused_at
-        elif self._is_receiving_request:
-            since = now if self.is_transport_paused else self.last_input_at
-        else:
+            return ReliefRank.SLOW if self.has_stopped_reading(now) else ReliefRank.READING
+        if not self._is_receiving_request:
             return None
-        return SLOW if now - since > RELIEF_DELAY else RECENT
+        since = now if self.is_transport_paused else self.last_input_at
+        return ReliefRank.SLOW if now - since > RELIEF_DELAY else ReliefRank.RECENT
 
     @property
     def _is_receiving_request(self) -> bool:
--- a/dahliabend/http/response_sender.py
+++ b/dahliabend/http/response_sender.py
@@ -14,6 +14,7 @@
 from dahliabend.transport.descriptor_budget import DescriptorBudget
 from dahliabend.transport.disconnect_detection import DisconnectDetectingConnection
 from dahliabend.transport.handles import NO_HANDLE
+from dahliabend.transport.read_progress import ReadProgress
 from dahliabend.transport.timers import Timer, TimerQueue, clock
 
 STREAM_TIMEOUT_FACTOR = 4  # write timeouts in which the rest of a streamed response has to be sent
@@ -38,6 +39,7 @@
         upload: The body of that request, if it is still being received.
         response: The response to that request, if it is streamed.
         timeout_timer: Fires when the time for receiving a request, sending a response or lingering is over.
+        read_progress: The client's progress in reading; None until it has been looked at.
     """
 
     parser: RequestParser
@@ -58,6 +60,7 @@
         self.upload: StreamingBody | None = None
         self.response: StreamedResponse | None = None
         self.timeout_timer: Timer | None = None
+        self.read_progress: ReadProgress | None = None
 
     # The current request
 
@@ -137,7 +140,7 @@
         if self.closed or self.response is None:
             return
         self.write(*self.response.frame(data))
-        if self.unsent_bytes > self.memory.allowance() and self.response is not None:
+        if self.has_full_output() and self.response is not None:
             self.response.source.suspend_reading()
 
     def finish_response(self) -> None:
@@ -166,6 +169,14 @@
         else:
             self.abort()
 
+    def has_stopped_reading(self, now: int) -> bool:
+        """Return whether the client reads nothing of a response that waits for it."""
+        if self.sock is None:
+            return True
+        if self.read_progress is None:
+            self.read_progress = ReadProgress()
+        return self.read_progress.has_stopped(self.sock, self.write_paused_at, now)
+
     def settle_response(self, *, has_response: bool) -> None:
         """Note whether the client has the last response."""
         trace_id = self.unconfirmed_id
--- a/dahliabend/http/streaming.py
+++ b/dahliabend/http/streaming.py
@@ -40,9 +40,8 @@
 class BodySink(Protocol):
     """The connection that a body is written to."""
 
-    @property
-    def unsent_bytes(self) -> int:
-        """Bytes that were written and have not been sent yet."""
+    def has_full_output(self) -> bool:
+        """Return whether what was written has to be sent before more is added."""
 
     def write(self, *pieces: bytes) -> None:
         """Write the pieces."""
@@ -160,7 +159,7 @@
         else:
             sink.write(data)
         # A failed write detaches the sink.
-        if self.sink is not None and self.sink.unsent_bytes > MAX_BUFFERED_BYTES:
+        if self.sink is not None and self.sink.has_full_output():
             self._suspend_source()
 
     def _terminator(self) -> bytes:
--- a/dahliabend/server/log_events.py
+++ b/dahliabend/server/log_events.py
@@ -85,7 +85,7 @@
     "memory.relieved": LogEvent(
         "warning",
         "the process came close to its memory limit: slow peers were rejected or closed (bytes)",
-        ("resident", "reserved", "reserved_now"),
+        ("resident", "reserved", "reserved_now", "unaccounted"),
     ),
     "member.changed": LogEvent(
         "info",
@@ -183,6 +183,7 @@
         (
             "resident_bytes",
             "reserved_bytes",
+            "unaccounted_bytes",
             "reserved_by",
             "relieved",
             "longest_iteration_ms",
--- a/dahliabend/server/memory_guard.py
+++ b/dahliabend/server/memory_guard.py
@@ -5,7 +5,7 @@
 from dahliabend.server.log import MAX_BUFFERED_BYTES, Log
 from dahliabend.transport import host_info
 from dahliabend.transport.descriptor_budget import DescriptorBudget
-from dahliabend.transport.memory_budget import MemoryBudget
+from dahliabend.transport.memory_budget import MemoryBudget, ReliefRank
 from dahliabend.transport.timers import TimerQueue, clock
 
 MEGABYTE = 1 << 20
@@ -14,6 +14,7 @@
 MIN_MARGIN = 9 * MEGABYTE // 4  # bytes
 MIN_CAPACITY = MEGABYTE  # bytes for peers, however little the limit leaves
 EMERGENCY_FRACTION = 1 / 4  # of the capacity, which is aimed at when the process comes close to its limit
+LAST_RESORT_FRACTION = 1 / 2  # of the margin; with less left, responses are cut off though they are read
 LOG_DIVISOR = 16  # lines that nobody reads may take this part of the capacity
 FULL_SHARE = 1.0
 
@@ -54,6 +55,14 @@
         """Bytes of the limit that are on no account."""
         return max(MIN_MARGIN, int(self.limit * MARGIN_FRACTION))
 
+    @property
+    def unaccounted(self) -> int:
+        """Bytes that the process has come to hold beyond its baseline and that no account has.
+
+        Memory that was given up counts too, as long as the allocator has not returned it to the system.
+        """
+        return self.resident - self.baseline - self.memory.reserved
+
     def open(self) -> None:
         """Take what the process holds now for its baseline, and begin to check."""
         self.baseline = host_info.resident_bytes()
@@ -85,14 +94,33 @@
         self.timers.schedule(clock() + CHECK_INTERVAL, self._check)
         self.resident = host_info.resident_bytes()
         self.memory.relieve_if_needed()
-        if self.resident <= self.limit - self.margin:
+        excess = self.resident - (self.limit - self.margin)
+        if excess <= 0:
             return
         reserved = self.memory.reserved
-        if self.memory.relieve(int(self.memory.capacity * EMERGENCY_FRACTION), clock()):
+        unaccounted = self.unaccounted
+        if self._relieve(excess):
             gc.collect()
             self.log(
                 "memory.relieved",
                 resident=self.resident,
                 reserved=reserved,
                 reserved_now=self.memory.reserved,
+                unaccounted=unaccounted,
             )
+
+    def _relieve(self, excess: int) -> bool:
+        """Make holders give up what they hold, as the process is `excess` bytes within its margin.
+
+        Responses that are being read are cut off only if the process would soon be killed, which would cut
+        off all of them, and only as many as that takes.
+
+        Returns:
+            Whether any holder has given up anything.
+        """
+        now = clock()
+        reserved = self.memory.reserved
+        has_relieved = self.memory.relieve(int(self.memory.capacity * EMERGENCY_FRACTION), now)
+        if excess > self.margin * LAST_RESORT_FRACTION:
+            has_relieved |= self.memory.relieve(reserved - excess, now, ReliefRank.READING)
+        return has_relieved
--- a/dahliabend/server/server.py
+++ b/dahliabend/server/server.py
@@ -202,6 +202,7 @@
         return {
             "resident_bytes": self.memory_guard.resident,
             "reserved_bytes": self.memory.reserved,
+            "unaccounted_bytes": self.memory_guard.unaccounted,
             "reserved_by": reserved_by,
             "relieved": self.memory.relieved,
             "longest_iteration_ms": self.loop_budget.take_longest() // MICROSECONDS_PER_MILLISECOND,
--- a/dahliabend/simulation/simulated_host.py
+++ b/dahliabend/simulation/simulated_host.py
@@ -28,6 +28,7 @@
     "peer_has_reset",
     "resident_bytes",
     "time_since_data",
+    "unacknowledged_bytes",
 )
 
 
@@ -157,6 +158,10 @@
         """Return 0: not known."""
         return 0
 
+    def unacknowledged_bytes(self, _sock: Socket) -> int:
+        """Return 0: not known."""
+        return 0
+
     def resident_bytes(self) -> int:
         """Return 0: simulated processes have no memory of their own."""
         return 0
--- a/dahliabend/transport/buffered_output.py
+++ b/dahliabend/transport/buffered_output.py
@@ -59,7 +59,10 @@
             self.pending.extend(piece for piece in pieces if piece)
         elif size:
             self._append_small(b"".join(pieces))
-        self.flush_pending()
+        if self.write_paused:
+            self.update_output_account()
+        else:
+            self.flush_pending()
 
     def _append_small(self, data: bytes) -> None:
         """Append a small piece; while writing is paused, small pieces are merged into one object."""
--- a/dahliabend/transport/connection.py
+++ b/dahliabend/transport/connection.py
@@ -10,6 +10,7 @@
 from dahliabend.transport.buffered_output import BufferedOutput
 from dahliabend.transport.descriptor_budget import DescriptorBudget
 from dahliabend.transport.loop_budget import CONNECTION_TIME, RECEIVE_AREA_BYTES
+from dahliabend.transport.memory_budget import ReliefRank
 from dahliabend.transport.timers import clock
 
 MIN_STEP = 1024  # bytes; fewer are passed on at once in any case
@@ -88,7 +89,11 @@
         """Return how many bytes this connection holds for its peer, in both directions."""
         return len(self.unprocessed) + self.unsent_bytes
 
-    def relief_rank(self, now: int) -> int | None:
+    def has_full_output(self) -> bool:
+        """Return whether the output that is not sent yet has to shrink before more is added."""
+        return self.unsent_bytes > self.memory.allowance()
+
+    def relief_rank(self, now: int) -> ReliefRank | None:
         """Return in which order the connection has to give up what it holds; None: it can't."""
         del now
         return None
@@ -108,7 +113,10 @@
 
     def get_buffer(self, _sizehint: int) -> memoryview:
         """Return the buffer for the bytes that the transport reads next; empty while input has to wait."""
-        return self.loop_budget.read_view(RECEIVE_AREA_BYTES - len(self.unprocessed))
+        limit = RECEIVE_AREA_BYTES - len(self.unprocessed)
+        if self.memory.buffered > self.memory.scarce_above:
+            limit = min(limit, self.memory.allowance())
+        return self.loop_budget.read_view(limit)
 
     def buffer_updated(self, nbytes: int) -> None:
         """Take in `nbytes` bytes that the transport has read."""
--- a/dahliabend/transport/host_info.py
+++ b/dahliabend/transport/host_info.py
@@ -4,10 +4,12 @@
 replace them.
 """
 
+import fcntl
 import os
 import select
 import socket
 import struct
+import termios
 import time
 from pathlib import Path
 
@@ -20,6 +22,7 @@
 
 _LAST_DATA = struct.Struct("I")  # tcpi_last_data_recv, in milliseconds
 _LAST_DATA_OFFSET = 52  # in struct tcp_info
+_BYTE_COUNT = struct.Struct("i")  # argument of the TIOCOUTQ ioctl
 _MICROSECONDS_PER_MILLISECOND = 1_000
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 _RESIDENT_FIELD = 1  # of /proc/self/statm, in pages
@@ -62,6 +65,15 @@
     return int(_LAST_DATA.unpack_from(info, _LAST_DATA_OFFSET)[0]) * _MICROSECONDS_PER_MILLISECOND
 
 
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return how many written bytes the peer's system has not acknowledged yet; 0 if it is not known."""
+    try:
+        count = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_BYTE_COUNT.size))
+    except (OSError, ValueError):  # the socket may have been closed
+        return 0
+    return int(_BYTE_COUNT.unpack(count)[0])
+
+
 def resident_bytes() -> int:
     """Return the resident memory of this process; 0 if the system does not tell."""
     try:
--- a/dahliabend/transport/memory_budget.py
+++ b/dahliabend/transport/memory_budget.py
@@ -1,23 +1,33 @@
 """The account of the memory that peers make the process hold, over all connections and requests."""
 
 from collections.abc import Iterable
+from enum import IntEnum
 from typing import Protocol
 
 from dahliabend.transport.timers import clock
 
 # What an open connection holds with nothing buffered: its objects, its parser and its transport.
-CONNECTION_BYTES = 9 * 1024
-CONNECTIONS_FRACTION = 3 / 8  # of the capacity, for connections with nothing buffered
+CONNECTION_BYTES = 6 * 1024
+CONNECTIONS_FRACTION = 1 / 4  # of the capacity, for connections with nothing buffered
 HIGH_WATER = 1 / 2  # of the capacity: above it, holders have to give up what they hold
 LOW_WATER = 3 / 8  # of the capacity, which is then aimed at
 FULL = 5 / 8  # of the capacity: above it, no request is admitted
+BUFFERS_FRACTION = 1 / 8  # of the capacity, shared by what connections buffer of bodies that are passed on
 MAX_ALLOWANCE = 64 * 1024  # bytes that one direction of a connection may buffer
 MIN_ALLOWANCE = 4 * 1024
-ALLOWANCE_DIVISOR = 16  # one direction of a connection may buffer this part of the free bytes
+ALLOWANCE_DIVISOR = 16  # one direction of a connection may buffer this part of what is left for buffers
 RELIEF_PAUSE = 5_000  # microseconds without another relief after one that did not free enough
 UNLIMITED = 1 << 50  # bytes
 
 
+class ReliefRank(IntEnum):
+    """In which order connections have to give up what they hold, the smallest rank first."""
+
+    SLOW = 0  # the peer has stopped, or is slow to complete a request
+    RECENT = 1  # an incomplete request whose bytes still come
+    READING = 2  # the peer goes on reading a response
+
+
 class MemoryHolder(Protocol):
     """A connection that holds bytes of its peer, or for it.
 
@@ -27,8 +37,8 @@
 
     reserved_bytes: int
 
-    def relief_rank(self, now: int) -> int | None:
-        """Return in which order it has to give up its bytes, the smallest first; None: it can't."""
+    def relief_rank(self, now: int) -> ReliefRank | None:
+        """Return in which order it has to give up its bytes; None: it can't."""
 
     def relieve(self) -> None:
         """Give up what it holds, with an answer where one is owed."""
@@ -38,19 +48,25 @@
     """One account of the bytes that peers make the process hold.
 
     Each connection sets what it holds; requests in flight are added and taken off. Above the high-water mark
-    those connections give up what they hold whose peers are slowest to complete a request or to read a
-    response. What one connection may buffer shrinks with what is free, so that many together can't use up
-    the capacity.
+    those connections give up what they hold whose peers have stopped or are slowest to complete a request.
+    What one connection may buffer shrinks as the part of the capacity that is meant for buffers is used up.
+    That part leaves room for all connections that may yet be opened, so that many responses that are read
+    slowly stay below the high-water mark together.
 
-    >>> budget = MemoryBudget(800_000)
+    >>> budget = MemoryBudget(8_000_000)
     >>> budget.allowance(), budget.is_full()
-    (50000, False)
-    >>> budget.reserved = 720_000; budget.allowance(), budget.is_full()
-    (5000, True)
+    (62500, False)
+    >>> budget.buffered = 900_000; budget.allowance()
+    6250
+    >>> budget.reserved = 7_200_000; budget.is_full()
+    True
 
     Attributes:
         capacity: Bytes that may be reserved.
+        max_buffered: Bytes of the capacity that are meant for what connections buffer.
         reserved: Bytes on the account.
+        buffered: Bytes of them that connections buffer.
+        scarce_above: Number of buffered bytes from which on one connection may buffer less than usual.
         peak: Largest number of bytes seen on the account at a relief or a report.
         relieved: How many times a holder has given up what it held.
         holders: The connections that hold more than themselves.
@@ -58,6 +74,7 @@
 
     def __init__(self, capacity: int = UNLIMITED) -> None:
         self.reserved = 0
+        self.buffered = 0
         self.peak = 0
         self.relieved = 0
         self.holders: dict[MemoryHolder, None] = {}
@@ -70,6 +87,8 @@
         self.high_water = int(capacity * HIGH_WATER)
         self.low_water = int(capacity * LOW_WATER)
         self.full = int(capacity * FULL)
+        self.max_buffered = int(capacity * BUFFERS_FRACTION)
+        self.scarce_above = self.max_buffered - ALLOWANCE_DIVISOR * MAX_ALLOWANCE
 
     @property
     def max_connections(self) -> int:
@@ -82,12 +101,14 @@
 
     def allowance(self) -> int:
         """Return how many bytes one direction of a connection may buffer now."""
-        free = (self.capacity - self.reserved) // ALLOWANCE_DIVISOR
+        free = (self.max_buffered - self.buffered) // ALLOWANCE_DIVISOR
         return max(MIN_ALLOWANCE, min(MAX_ALLOWANCE, free))
 
     def set_reserved(self, holder: MemoryHolder, count: int) -> None:
         """Set the number of bytes that a connection holds."""
-        self.reserved += count - holder.reserved_bytes
+        change = count - holder.reserved_bytes
+        self.reserved += change
+        self.buffered += change
         holder.reserved_bytes = count
         if count:
             self.holders[holder] = None
@@ -106,15 +127,20 @@
                 if self.reserved > self.low_water:
                     self._next_relief = now + RELIEF_PAUSE
 
-    def relieve(self, target: int, now: int) -> bool:
+    def relieve(self, target: int, now: int, last_rank: ReliefRank = ReliefRank.RECENT) -> bool:
         """Make holders give up what they hold until at most `target` bytes are held.
 
+        Args:
+            target: Bytes.
+            now: Clock time (us).
+            last_rank: Holders of a larger rank give up nothing.
+
         Returns:
             Whether any holder has given up anything.
         """
         self.peak = max(self.peak, self.reserved)
         relieved_before = self.relieved
-        for holder in _by_rank(self.holders, now):
+        for holder in _by_rank(self.holders, now, last_rank):
             if self.reserved <= target:
                 break
             holder.relieve()
@@ -122,11 +148,11 @@
         return self.relieved > relieved_before
 
 
-def _by_rank(holders: Iterable[MemoryHolder], now: int) -> list[MemoryHolder]:
+def _by_rank(holders: Iterable[MemoryHolder], now: int, last_rank: ReliefRank) -> list[MemoryHolder]:
     """Return the holders that can give up anything: by rank, then the largest first."""
     ranked: list[tuple[int, int, int, MemoryHolder]] = []
     for holder in holders:
         rank = holder.relief_rank(now)
-        if rank is not None:
+        if rank is not None and rank <= last_rank:
             ranked.append((rank, -holder.reserved_bytes, len(ranked), holder))
     return [entry[-1] for entry in sorted(ranked)]
--- a/tests/http/test_streaming_body.py
+++ b/tests/http/test_streaming_body.py
@@ -39,6 +39,9 @@
     def write(self, *pieces):
         self.unsent_bytes += sum(map(len, pieces))
 
+    def has_full_output(self):
+        return self.unsent_bytes > MAX_BUFFERED_BYTES
+
     def finish_upload(self, terminator):
         self.write(terminator)
 
--- a/tests/transport/test_memory_budget.py
+++ b/tests/transport/test_memory_budget.py
@@ -3,7 +3,13 @@
 import pytest
 
 from dahliabend.transport import memory_budget
-from dahliabend.transport.memory_budget import MAX_ALLOWANCE, MIN_ALLOWANCE, RELIEF_PAUSE, MemoryBudget
+from dahliabend.transport.memory_budget import (
+    MAX_ALLOWANCE,
+    MIN_ALLOWANCE,
+    RELIEF_PAUSE,
+    MemoryBudget,
+    ReliefRank,
+)
 
 CAPACITY = 1_000_000
 
@@ -70,3 +76,22 @@
         Holder(memory, memory.allowance())
     assert memory.reserved < 0.95 * memory.capacity
     assert MIN_ALLOWANCE <= memory.allowance() <= MAX_ALLOWANCE
+
+
+# Guards against review/7: responses that were read were cut off to come below the high-water mark.
+def test_peers_that_go_on_reading_give_up_nothing_above_the_high_water_mark(memory):
+    reading = Holder(memory, 600_000, ReliefRank.READING)
+    slow = Holder(memory, 10, ReliefRank.SLOW)
+    memory.relieve_if_needed()
+    assert (slow.relieved, reading.relieved) == (True, False)
+    memory.relieve(memory.low_water, 0, ReliefRank.READING)
+    assert reading.relieved
+
+
+# Guards against review/7: the allowance was measured against what is never reached, the whole capacity.
+@pytest.mark.parametrize("holders", [100, 300, 600])
+def test_many_holders_that_take_all_they_may_stay_below_the_high_water_mark(holders):
+    memory = MemoryBudget(20_000_000)
+    for _ in range(holders):
+        Holder(memory, memory.allowance())
+    assert memory.reserved < memory.high_water
