Requests of one key run one at a time over both processes of an upgrade

Cause: the queues of the keys are in one process (KeyQueues), and the processes shared no turns.

Evidence: each pair that overlaps has one request from each process. With one held at the predecessor, the successor sent the next one of the key at once.

Change: while there are several processes, each publishes in shared memory what it has out and since when its earliest request waits, by slots of keys; a request begins if its turn has come among all (SharedKeyOrder). What a killed process had out counts until its deadline, what waited there does not. Tables of processes are read and removed by one pair of functions for both sorts.

Without a second process nothing is published.

--- a/dahliabend/policy/balancer.py
+++ b/dahliabend/policy/balancer.py
@@ -185,9 +185,12 @@
         wait = self.deadlines.queue_wait(request.class_index, queue_position)
         if queue_position and not self.admission.may_queue(request, now, wait):
             self.give_up(request, wait)
-        elif self.key_queues.join(request):
+        elif self.key_queues.join(request, now):
             self.send(request, now)
             self.key_queues.leave(request, now)
+        elif request.body_pending:  # another process has one of the key out; see `may_queue`
+            self.give_up(request, wait)
+            self.key_queues.leave(request, now)
 
     def send(self, request: RequestState, now: int) -> None:
         """Send the next attempt of a request, or give the request up if no attempt is allowed or possible."""
@@ -226,6 +229,8 @@
         request.deadline = self.deadlines.useful_deadline(request.request_class, now, deadline)
         self.outliers.attempt_began(request.attempts[-1])
         self.concurrency.attempt_began(request, request.attempts[-1])
+        if request.key:
+            self.key_queues.deadline_changed(request)
         return self.deadlines.attempt_timeout(request, now)
 
     def response_started(self, request: RequestState, attempt: Attempt) -> None:
--- a/dahliabend/proxy/router.py
+++ b/dahliabend/proxy/router.py
@@ -9,6 +9,7 @@
 from dahliabend.http.responses import retry_after_header
 from dahliabend.http.upstream_connection import UpstreamResponse
 from dahliabend.model import Outcome
+from dahliabend.policy.key_order import ProcessOrder
 from dahliabend.proxy import request_log
 from dahliabend.proxy.attempt import NO_DEADLINE, Attempt
 from dahliabend.proxy.base_dispatcher import BaseDispatcher, RequestMetrics
@@ -111,6 +112,11 @@
             previous.snapshot(is_final=True), self.class_index_pairs(previous_indices)
         )
 
+    def share_key_order(self, processes: ProcessOrder | None) -> None:
+        """Keep the order of each key together with other processes; None: this process is alone."""
+        for policy in self.policies:
+            policy.balancer.key_queues.share(processes)
+
     def ready(self) -> bool:
         """Return whether requests can be served.
 
--- a/dahliabend/server/hot_restart.py
+++ b/dahliabend/server/hot_restart.py
@@ -11,14 +11,14 @@
 
 import orjson
 
-from dahliabend.proxy.executed_requests import TABLE_BYTES
+from dahliabend.proxy import executed_requests, shared_key_order
 from dahliabend.server.log import EventLog
 from dahliabend.transport import host_info
-from dahliabend.transport.runtime_directory import LockedFile
+from dahliabend.transport.runtime_directory import LockedFile, SharedLock
 
 VERSION = 1  # of the state's format; state of another version is ignored
 EXCLUSIONS_DIRECTORY = "excluded"
-EXECUTED_PREFIX = "executed-"  # of the files with the requests that may have run
+KEY_ORDER_LOCK = "order.lock"
 DIGEST_BYTES = 16  # length of the digest of an upstream's name that names its file
 
 
@@ -34,6 +34,22 @@
     process_id: int
 
 
+class SharedTable(NamedTuple):
+    """A sort of table that each process has in memory that the others can read.
+
+    Attributes:
+        prefix: First part of the names of its files.
+        size: Size in bytes.
+    """
+
+    prefix: str
+    size: int
+
+
+EXECUTED_TABLE = SharedTable("executed-", executed_requests.TABLE_BYTES)  # requests that may have run
+KEY_ORDER_TABLE = SharedTable("order-", shared_key_order.TABLE_BYTES)  # ordering keys in use
+
+
 def _file_suffix(process: tuple[int, int]) -> str:
     start_order, process_id = process
     return f"{start_order}-{process_id}"
@@ -131,33 +147,46 @@
         if self._alive_file is not None:
             self._alive_file.write(b"%8d" % attempts)
 
-    # Requests that may have run
+    # Tables in memory that the processes share
 
-    def create_executed_table(self) -> memoryview:
-        """Return the memory of this process's table of executed requests, which the others can read.
+    def create_table(self, table: SharedTable) -> memoryview:
+        """Return the memory of this process's table, which the others can read.
 
         Raises:
             OSError: The file can't be created.
         """
-        return self.directory.create_shared(f"{EXECUTED_PREFIX}{_file_suffix(self.process_key)}", TABLE_BYTES)
-
-    def executed_tables(self, known: Collection[str]) -> dict[str, memoryview]:
-        """Return the tables of the other processes that are not known yet, by the suffix of their files.
+        return self.directory.create_shared(f"{table.prefix}{_file_suffix(self.process_key)}", table.size)
 
-        The files of processes that have ended are removed; their content stays in memory.
-        """
-        live = {_file_suffix(key) for key in self.live_processes()} | {_file_suffix(self.process_key)}
+    def foreign_tables(self, table: SharedTable, known: Collection[str]) -> dict[str, memoryview]:
+        """Return the tables of the other processes that are not known yet, by the suffix of their files."""
         tables = {}
-        for name in self.directory.glob(f"{EXECUTED_PREFIX}*"):
-            suffix = name.removeprefix(EXECUTED_PREFIX)
+        for name in self.directory.glob(f"{table.prefix}[0-9]*"):
+            suffix = name.removeprefix(table.prefix)
             if suffix not in known and suffix != _file_suffix(self.process_key):
-                block = self.directory.open_shared(name, TABLE_BYTES)
+                block = self.directory.open_shared(name, table.size)
                 if block is not None:
                     tables[suffix] = block
-            if suffix not in live:
-                self.directory.remove(name)
         return tables
 
+    def remove_dead_tables(self, table: SharedTable, needed: Collection[str] = ()) -> None:
+        """Remove the files of processes that have ended, but for those with a needed suffix.
+
+        Where a process has mapped a file, the content stays in its memory.
+        """
+        live = {_file_suffix(key) for key in self.live_processes()} | {_file_suffix(self.process_key)}
+        for name in self.directory.glob(f"{table.prefix}[0-9]*"):
+            suffix = name.removeprefix(table.prefix)
+            if suffix not in live and suffix not in needed:
+                self.directory.remove(name)
+
+    def open_key_order_lock(self) -> SharedLock:
+        """Return the lock under which a request takes the turn of its key.
+
+        Raises:
+            OSError: The file can't be created.
+        """
+        return self.directory.open_lock(KEY_ORDER_LOCK)
+
     # Exclusions
 
     def exclusions(self) -> set[str]:
--- a/dahliabend/server/process_takeover.py
+++ b/dahliabend/server/process_takeover.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 from dahliabend.proxy.router import Router
-from dahliabend.server.hot_restart import HotRestart, ProcessKey
+from dahliabend.proxy.shared_key_order import SharedKeyOrder
+from dahliabend.server.hot_restart import EXECUTED_TABLE, KEY_ORDER_TABLE, HotRestart, ProcessKey
 from dahliabend.server.log import EventLog
 from dahliabend.server.memory_guard import MemoryGuard
 from dahliabend.transport.descriptor_budget import DescriptorBudget
@@ -46,7 +47,8 @@
         self.log = log
         self._predecessors: list[ProcessKey] = []
         self._descriptors_shared = False
-        self._has_read_executed = False
+        self._key_order: SharedKeyOrder | None = None
+        self._has_read_tables = False
 
     async def take_over(
         self, capture_state: Callable[[], dict[str, Any]], restore_state: Callable[[dict[str, Any]], None]
@@ -63,7 +65,10 @@
         """
         try:
             self.directory.open()
-            self.router.executed.share(self.directory.create_executed_table())
+            self.router.executed.share(self.directory.create_table(EXECUTED_TABLE))
+            self._key_order = SharedKeyOrder(
+                self.directory.create_table(KEY_ORDER_TABLE), self.directory.open_key_order_lock()
+            )
         except OSError as error:
             self.log("hot_restart.unavailable", reason=str(error))
             return False
@@ -108,7 +113,7 @@
         own_key = self.directory.process_key
         self._predecessors = [key for key in live if key < own_key]
         self._share_descriptors(bool(live))
-        self._share_executed_requests(set(live))
+        self._share_tables({f"{key.start_order}-{key.process_id}" for key in live})
         if live:
             self.directory.publish_in_flight(self.router.attempts_in_flight())
         self.router.balancer.concurrency.in_flight_in_other_processes = sum(live.values())
@@ -123,16 +128,45 @@
         self.descriptors.set_share(share)
         self.memory_guard.set_share(share)
 
-    def _share_executed_requests(self, live: set[ProcessKey]) -> None:
-        """Look at the requests that other processes may have run, for some time after their end as well."""
+    def _share_tables(self, live: set[str]) -> None:
+        """Look at the tables of other processes, for some time after their end as well."""
+        is_first = not self._has_read_tables
+        self._has_read_tables = True
+        self._share_executed_requests(live, is_first=is_first)
+        if self._key_order is not None:
+            self._share_key_order(self._key_order, live, is_first=is_first)
+
+    def _share_executed_requests(self, live: set[str], *, is_first: bool) -> None:
+        """Look at the requests that other processes may have run."""
         executed = self.router.executed
-        live_names = {f"{key.start_order}-{key.process_id}" for key in live}
         if live or executed.foreign:
-            executed.update_foreign(live_names, clock())
-        if live_names - executed.foreign.keys() or not self._has_read_executed:
-            self._has_read_executed = True
-            for name, block in self.directory.executed_tables(executed.foreign).items():
-                executed.add_foreign(name, block, is_alive=name in live_names)
+            executed.update_foreign(live, clock())
+        if live - executed.foreign.keys() or is_first:
+            for name, block in self.directory.foreign_tables(EXECUTED_TABLE, executed.foreign).items():
+                executed.add_foreign(name, block, is_alive=name in live)
+            self.directory.remove_dead_tables(EXECUTED_TABLE)
+
+    def _share_key_order(self, order: SharedKeyOrder, live: set[str], *, is_first: bool) -> None:
+        """Keep the order of each key together with the other processes, while there are any.
+
+        The file of a process that was killed stays while it has a request out, as a process that starts later
+        has to know of that.
+        """
+        was_shared = bool(order.foreign)
+        if live - order.foreign.keys() or is_first:
+            for name, block in self.directory.foreign_tables(KEY_ORDER_TABLE, order.foreign).items():
+                order.add_foreign(name, block, is_alive=name in live)
+        if not (order.foreign or was_shared):
+            return
+        seen = set(order.foreign)
+        order.update_foreign(live, clock())
+        if order.foreign.keys() != seen:
+            self.directory.remove_dead_tables(KEY_ORDER_TABLE, order.foreign)
+        if bool(order.foreign) == was_shared:
+            return
+        self.router.share_key_order(order if order.foreign else None)
+        if not order.foreign:
+            order.withdraw_all()
 
     def _apply_exclusions(self) -> None:
         excluded = self.directory.exclusions()
--- a/dahliabend/simulation/simulated_host.py
+++ b/dahliabend/simulation/simulated_host.py
@@ -44,6 +44,17 @@
         self.data = data
 
 
+class UncontendedLock:
+    """A lock between simulated processes, of which only one runs at a time."""
+
+    def try_acquire(self) -> bool:
+        """Return True: no other process can hold it now."""
+        return True
+
+    def release(self) -> None:
+        """Do nothing."""
+
+
 class MemoryDirectory:
     """An in-memory implementation of the interface of `dahliabend.transport.runtime_directory`.
 
@@ -96,6 +107,10 @@
         block = self.files.get(name)
         return block if isinstance(block, memoryview) and len(block) == size else None
 
+    def open_lock(self, _name: str) -> UncontendedLock:
+        """Return the lock of a name."""
+        return UncontendedLock()
+
     def read_locked(self, name: str) -> bytes | None:
         """Return the content of a locked file; if its lock is free, remove it and return None."""
         lock = self.files.get(name)
--- a/dahliabend/transport/runtime_directory.py
+++ b/dahliabend/transport/runtime_directory.py
@@ -31,6 +31,26 @@
             os.pwrite(self.descriptor, data, 0)
 
 
+class SharedLock:
+    """A lock between processes, which the system releases when its holder ends."""
+
+    def __init__(self, descriptor: int) -> None:
+        self.descriptor = descriptor
+
+    def try_acquire(self) -> bool:
+        """Acquire the lock unless another process holds it; return whether it was acquired."""
+        try:
+            fcntl.lockf(self.descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            return False
+        return True
+
+    def release(self) -> None:
+        """Release the lock."""
+        with contextlib.suppress(OSError):
+            fcntl.lockf(self.descriptor, fcntl.LOCK_UN)
+
+
 class RuntimeDirectory:
     """Files by name; a name may contain one `/`, for a subdirectory.
 
@@ -95,6 +115,10 @@
             return None
         return block if len(block) == size else None
 
+    def open_lock(self, name: str) -> SharedLock:
+        """Return the lock of a name, which all processes share; its file stays."""
+        return SharedLock(os.open(self.path / name, os.O_RDWR | os.O_CREAT, 0o600))
+
     def read_locked(self, name: str) -> bytes | None:
         """Return what the process that keeps a file locked has written to it; None if no process does.
 
