A listed upstream can be excluded however many others were listed since

Cause: the ids that exclusions are checked against were the last 4,096 by when they were first listed; the oldest was dropped although it was still listed.

Evidence: a unit test with 8,192 others listed and removed: refused, with the endpoint in the table.

Change: an id is known if the table or the whole list has it (SubsetFilter gives its list), or if it is among the last 4,096 that were listed, excluded or have gone; an id is recorded again when it goes. Exclusions have no limit.

Three tests of test_endpoint_table.py failed before: a listed one, one that has just gone, and one beyond 4,096 exclusions.

--- a/dahliabend/proxy/endpoint_table.py
+++ b/dahliabend/proxy/endpoint_table.py
@@ -1,11 +1,15 @@
 """The endpoints of one pool, by id and by index."""
 
+from collections.abc import Container
+
 from dahliabend.http.upstream_connection import UpstreamConnection
 from dahliabend.proxy.endpoint import Endpoint
 from dahliabend.proxy.endpoint_resources import EndpointResources
 from dahliabend.transport.timers import clock
 
-MAX_REMEMBERED_IDS = 4096  # remembered because an operator may exclude an endpoint that is not listed now
+MAX_REMEMBERED_IDS = (
+    4096  # beside those that are listed, as an operator may exclude an endpoint that has gone
+)
 SWEEPS_PER_IDLE_TIMEOUT = 8
 
 
@@ -19,15 +23,17 @@
         resources: Resources shared by the endpoints.
         endpoints: Endpoints by index.
         indices: Indices by id.
-        known_ids: Ids that have been listed or excluded, as keys, the most recent last; at most
-            `MAX_REMEMBERED_IDS`.
+        listed_ids: Ids of the whole endpoint list, where the table has only a part of it.
+        remembered_ids: Ids that have been listed or excluded, as keys, the most recent last; at most
+            `MAX_REMEMBERED_IDS`. An id that is listed is known without them.
     """
 
     def __init__(self, resources: EndpointResources) -> None:
         self.resources = resources
         self.endpoints: dict[int, Endpoint] = {}
         self.indices: dict[str, int] = {}
-        self.known_ids: dict[str, None] = {}
+        self.listed_ids: Container[str] = ()
+        self.remembered_ids: dict[str, None] = {}
         self.next_index = 0
 
     def get_or_create(self, endpoint_id: str) -> Endpoint:
@@ -41,17 +47,26 @@
             self.remember_id(endpoint_id)
         return self.endpoints[index]
 
+    def is_known(self, endpoint_id: str) -> bool:
+        """Return whether an id is listed, or has been listed or excluded as far as that is remembered."""
+        return (
+            endpoint_id in self.indices
+            or endpoint_id in self.listed_ids
+            or endpoint_id in self.remembered_ids
+        )
+
     def remember_id(self, endpoint_id: str) -> None:
         """Record that an id has been listed or excluded; the oldest record over the limit is dropped."""
-        self.known_ids.pop(endpoint_id, None)
-        self.known_ids[endpoint_id] = None
-        if len(self.known_ids) > MAX_REMEMBERED_IDS:
-            del self.known_ids[next(iter(self.known_ids))]
+        self.remembered_ids.pop(endpoint_id, None)
+        self.remembered_ids[endpoint_id] = None
+        if len(self.remembered_ids) > MAX_REMEMBERED_IDS:
+            del self.remembered_ids[next(iter(self.remembered_ids))]
 
     def remove(self, index: int) -> None:
         """Remove an endpoint; requests in flight keep a reference to it until they end."""
         endpoint = self.endpoints.pop(index)
         del self.indices[endpoint.name]
+        self.remember_id(endpoint.name)  # it may have been listed long ago
         endpoint.disable()
 
     def close_expired_connections(self) -> None:
--- a/dahliabend/proxy/pool_state.py
+++ b/dahliabend/proxy/pool_state.py
@@ -9,7 +9,7 @@
 from dahliabend.model import EndpointState, Outcome, Snapshot
 from dahliabend.policy.balancer import Balancer
 from dahliabend.proxy.endpoint import Endpoint
-from dahliabend.proxy.endpoint_table import MAX_REMEMBERED_IDS, EndpointTable
+from dahliabend.proxy.endpoint_table import EndpointTable
 from dahliabend.proxy.policy_port import PolicyPort
 from dahliabend.transport.timers import clock
 
@@ -119,16 +119,16 @@
     def exclude(self, endpoint_id: str, excluded: bool) -> bool:
         """Exclude an endpoint, or include it again, whatever its state in the endpoint list.
 
+        An exclusion is kept until it is taken back, however many there are: each is a call of an operator.
+
         Returns:
-            False if no endpoint with that id is remembered as listed, or if too many are already excluded.
+            False if no endpoint with that id is listed or remembered as listed.
         """
-        if endpoint_id not in self.table.known_ids and endpoint_id not in self.excluded:
+        if not (self.table.is_known(endpoint_id) or endpoint_id in self.excluded):
             return False
         if excluded is (endpoint_id in self.excluded):
             return True
         if excluded:
-            if len(self.excluded) >= MAX_REMEMBERED_IDS:
-                return False  # bounds memory
             self.excluded.add(endpoint_id)
         else:
             self.excluded.discard(endpoint_id)
@@ -173,7 +173,7 @@
         state["returned"] = {
             endpoint.name: endpoint.included_at for endpoint in endpoints.values() if endpoint.included_at
         }
-        state["once"] = list(self.table.known_ids)
+        state["once"] = list(self.table.remembered_ids)
         return state
 
     def check_snapshot(self, state: dict[str, Any]) -> None:
--- a/dahliabend/server/subset_filter.py
+++ b/dahliabend/server/subset_filter.py
@@ -64,14 +64,7 @@
 
     def endpoints_changed(self, entries: list[EndpointListEntry], full: bool) -> None:
         """Apply an update of the endpoint list: the whole list if `full`, otherwise the changed entries."""
-        if full:
-            self._entries = {}
-        for entry in entries:
-            if entry.state is EndpointState.REMOVED:
-                self._entries.pop(entry.name, None)
-            else:
-                self._entries[entry.name] = entry
-                self.router.table.remember_id(entry.name)  # an operator may exclude it before it is in use
+        self._apply_entries(entries, full=full)
         ready = [
             Participant(entry.name, entry.zone, entry.weight)
             for entry in self._entries.values()
@@ -81,6 +74,26 @@
         self._update_subset()
         self._update_router()  # even if the subset stays the same, so that draining takes effect at once
 
+    def _apply_entries(self, entries: list[EndpointListEntry], *, full: bool) -> None:
+        """Update the whole list, whose ids an operator may exclude before they are in use."""
+        previous = self._entries
+        if full:
+            self._entries = {}
+        for entry in entries:
+            if entry.state is EndpointState.REMOVED:
+                self._forget(entry.name)
+            else:
+                self._entries[entry.name] = entry
+        table = self.router.table
+        table.listed_ids = self._entries
+        if full:
+            for name in previous.keys() - self._entries.keys():
+                table.remember_id(name)
+
+    def _forget(self, name: str) -> None:
+        if self._entries.pop(name, None) is not None:
+            self.router.table.remember_id(name)
+
     def endpoint_poll_failed(self) -> None:
         """Notify the router that the endpoint list could not be fetched."""
         self.router.endpoint_poll_failed()
--- a/tests/proxy/test_endpoint_table.py
+++ b/tests/proxy/test_endpoint_table.py
@@ -16,7 +16,9 @@
 from dahliabend.discovery.endpoint_list import EndpointListEntry, parse_endpoint
 from dahliabend.http.upstream_connection import UpstreamConnection
 from dahliabend.model import EndpointState, Outcome
+from dahliabend.proxy.endpoint_table import MAX_REMEMBERED_IDS
 from dahliabend.proxy.policy_port import PolicyPort
+from dahliabend.proxy.pool_state import PoolState
 from dahliabend.proxy.router import Router
 from dahliabend.transport.connection import Connection
 from dahliabend.transport.timers import clock
@@ -183,3 +185,69 @@
     assert indices[1] == indices[3]
     assert len(set(indices)) == 4
     assert all(index < 0 for index in indices[1:])
+
+
+def pool(table):
+    """A pool whose only policy has the endpoints that are listed."""
+    selection = SimpleNamespace(endpoints=set())
+
+    def update(endpoints, full):
+        changed = {endpoint.index: state for endpoint, state in endpoints}
+        kept = set() if full else selection.endpoints
+        gone = {index for index, state in changed.items() if state is EndpointState.REMOVED}
+        selection.endpoints = (kept | changed.keys()) - gone
+
+    settings = SimpleNamespace(can_use_removed_endpoints=False)
+    balancer = SimpleNamespace(settings=settings, selection=selection)
+    state = PoolState(table, 0)
+    state.policies = [SimpleNamespace(balancer=balancer, endpoints_changed=update)]
+    return state
+
+
+def listed_entry(name, state=EndpointState.READY):
+    return EndpointListEntry(name, ("127.0.0.1", 1), state, 0, 1.0, 0, "a")
+
+
+def replace_one_by_one(router, count):
+    """List and remove this many further endpoints."""
+    for number in range(count):
+        name = f"other-{number}"
+        router.endpoints_changed([listed_entry(name)], full=False)
+        router.endpoints_changed([listed_entry(name, EndpointState.REMOVED)], full=False)
+
+
+# Guards against review/8: a listed endpoint could not be excluded after 4,096 other ids.
+def test_a_listed_endpoint_can_be_excluded_however_many_others_were_listed_since():
+    router = pool(endpoint_table())
+    router.endpoints_changed([listed_entry("s-1"), listed_entry("s-2")], full=True)
+    replace_one_by_one(router, 2 * MAX_REMEMBERED_IDS)
+    assert router.exclude("s-1", excluded=True)
+    assert not router.table.endpoints[router.table.indices["s-1"]].enabled
+    assert len(router.table.remembered_ids) == MAX_REMEMBERED_IDS
+
+
+# Guards against review/8: what has just gone was forgotten first, as it had been listed long ago.
+def test_an_endpoint_that_has_just_gone_can_be_excluded_before_it_comes_back():
+    router = pool(endpoint_table())
+    router.endpoints_changed([listed_entry("s-1")], full=True)
+    replace_one_by_one(router, 2 * MAX_REMEMBERED_IDS)
+    router.endpoints_changed([listed_entry("s-1", EndpointState.REMOVED)], full=False)
+    assert router.exclude("s-1", excluded=True)
+
+
+# Guards against review/8: with 4,096 exclusions, of which none may be forgotten, a further one was refused.
+def test_no_number_of_exclusions_keeps_a_listed_endpoint_from_being_excluded():
+    router = pool(endpoint_table())
+    for number in range(MAX_REMEMBERED_IDS + 1):
+        router.endpoints_changed([listed_entry(f"s-{number}")], full=True)
+        assert router.exclude(f"s-{number}", excluded=True)
+    router.endpoints_changed([listed_entry("s-0")], full=True)
+    assert not router.table.endpoints[router.table.indices["s-0"]].enabled
+    assert router.exclude("s-0", excluded=False)
+
+
+def test_an_id_that_was_never_listed_is_unknown_after_many_others():
+    router = pool(endpoint_table())
+    replace_one_by_one(router, 100_000)
+    assert not router.exclude("never", excluded=True)
+    assert not router.exclude("never", excluded=False)
--- a/tests/subsetting/fake_router.py
+++ b/tests/subsetting/fake_router.py
@@ -10,7 +10,9 @@
         self.lists = []
         self.excluded = set()
         self.failed_polls = 0
-        self.table = SimpleNamespace(indices={}, known_ids={}, remember_id=self.remember_id)
+        self.table = SimpleNamespace(
+            indices={}, listed_ids=(), remembered_ids={}, remember_id=self.remember_id
+        )
         self.balancer = SimpleNamespace(
             selection=SimpleNamespace(ready=[]),
             throttling=SimpleNamespace(window=1),
@@ -18,7 +20,7 @@
         )
 
     def remember_id(self, name: str) -> None:
-        self.table.known_ids[name] = None
+        self.table.remembered_ids[name] = None
 
     def endpoints_changed(self, entries, full):
         assert full
--- a/tests/subsetting/test_subset_filter.py
+++ b/tests/subsetting/test_subset_filter.py
@@ -37,7 +37,7 @@
     subset_filter, router = listed
     assert set(router.lists[-1]) == set(subset_filter.subset.weights)
     assert 6 <= len(router.lists[-1]) <= 9
-    assert set(router.table.known_ids) == NAMES
+    assert set(router.table.listed_ids) == NAMES
     assert subset_filter.status()["by"] == "name"
     assert subset_filter.status()["of"] == 30
 
@@ -120,3 +120,17 @@
 """)
     (fault,) = load_file(str(path)).faults
     assert str(fault).startswith(f"{path}:6: {expected_fault}")
+
+
+# Guards against review/8: an id that is listed and not in the subset was forgotten after 4,096 others.
+def test_ids_that_leave_the_list_are_remembered_and_those_that_stay_are_listed(listed):
+    subset_filter, router = listed
+    first, second, *rest = sorted(NAMES)
+    removed = endpoint_entries(range(30))[0]._replace(name=first, state=EndpointState.REMOVED)
+    subset_filter.endpoints_changed([removed], full=False)
+    assert set(router.table.remembered_ids) == {first}
+    subset_filter.endpoints_changed(
+        [entry for entry in endpoint_entries(range(30)) if entry.name not in (first, second)], full=True
+    )
+    assert set(router.table.remembered_ids) == {first, second}
+    assert set(router.table.listed_ids) == set(rest)
