Where memory allows few connections, the reserve is a part of those

What clients saw: under 32 MB memory allows some 70 connections, of which 64 were the reserve, a sixteenth of the 1,024 descriptors. Requests were rejected although two in three connections were free: 25 to 65% of those of sound clients beside rude ones, 47% beside four that send at full speed.

Cause: the reserve was derived from the descriptors, whatever the memory allows.

Change: where memory sets the limit, the reserve is a sixteenth of that limit, 8 at least.

The new test failed before.

--- a/dahliabend/transport/descriptor_budget.py
+++ b/dahliabend/transport/descriptor_budget.py
@@ -74,7 +74,7 @@
         evicting: Handles of connections that were evicted and are not closed yet.
         share: Fraction of the descriptors that this process may use.
         is_limited_by_memory: Whether memory allows fewer connections than there are descriptors.
-        reserve: Descriptors kept for clients that can only be rejected.
+        reserve: Descriptors kept for clients that can only be rejected, if memory allows as many connections.
         limit: Largest number of connections of this process.
         limit_before_reserve: Number of connections from which on the reserve is used.
         memory: The account of what the process holds for its peers, with these connections.
@@ -111,12 +111,16 @@
     def apply_limit(self) -> None:
         """Derive the largest number of connections from the descriptors and the memory that there are.
 
-        Idle connections beyond the limit are closed.
+        Idle connections beyond the limit are closed. The reserve shrinks with a limit that memory sets: else
+        it would leave hardly any connection for requests that can be served.
         """
         descriptors = round(self.connections.capacity * self.share)
         self.is_limited_by_memory = self.memory.max_connections < descriptors
         self.limit = min(descriptors, max(MIN_CONNECTIONS, self.memory.max_connections))
-        self.limit_before_reserve = max(1, self.limit - self.reserve)
+        reserve = self.reserve
+        if self.is_limited_by_memory:
+            reserve = min(reserve, max(MIN_RESERVE, round(self.limit * RESERVE_FRACTION)))
+        self.limit_before_reserve = max(1, self.limit - reserve)
         for handle in tuple(self.idle):
             if not self.reserve_in_use:
                 break
--- a/tests/transport/test_descriptor_budget.py
+++ b/tests/transport/test_descriptor_budget.py
@@ -8,7 +8,12 @@
 from helpers import S
 
 from dahliabend.http.client_connection import ClientConnection
-from dahliabend.transport.descriptor_budget import GIVE_UP_INTERVAL, MIN_CONNECTIONS, DescriptorBudget
+from dahliabend.transport.descriptor_budget import (
+    GIVE_UP_INTERVAL,
+    MIN_CONNECTIONS,
+    MIN_RESERVE,
+    DescriptorBudget,
+)
 from dahliabend.transport.memory_budget import MemoryBudget
 from dahliabend.transport.timers import clock
 
@@ -77,3 +82,14 @@
     budget = DescriptorBudget(1024, MemoryBudget(1_000_000))
     assert budget.is_limited_by_memory
     assert budget.limit == MIN_CONNECTIONS
+
+
+# Guards against a side of review/7: where memory allows few connections, nearly all of them were the reserve.
+def test_the_reserve_is_a_part_of_the_connections_that_memory_allows():
+    memory = MemoryBudget()
+    budget = DescriptorBudget(1024, memory)
+    assert budget.limit_before_reserve == budget.limit - 64
+    memory.set_capacity(2_000_000)
+    budget.apply_limit()
+    assert budget.limit == memory.max_connections < 100
+    assert budget.limit_before_reserve == budget.limit - MIN_RESERVE
