Memory: a connection counts as before, clients are read as before; a sixteenth is for buffers

Change: 9 KiB on 3/8 of the capacity again; only upstreams are read in smaller pieces while memory is scarce. In exchange a sixteenth of the capacity is for buffers, half of what connections leave below the high-water mark.

--- a/dahliabend/http/upstream_connection.py
+++ b/dahliabend/http/upstream_connection.py
@@ -10,6 +10,7 @@
 from dahliabend.http.streaming import BodySource, StreamingBody
 from dahliabend.transport.connection import Connection
 from dahliabend.transport.descriptor_budget import DescriptorBudget
+from dahliabend.transport.loop_budget import RECEIVE_AREA_BYTES
 from dahliabend.transport.timers import TimerQueue
 
 STATUS_OK = 200
@@ -296,6 +297,13 @@
 
     # Input and end of the connection
 
+    def get_buffer(self, _sizehint: int) -> memoryview:
+        """Return the buffer for the bytes that the transport reads next: few while memory is scarce."""
+        limit = RECEIVE_AREA_BYTES - len(self.unprocessed)
+        if self.memory.buffered > self.memory.scarce_above:
+            limit = min(limit, self.memory.allowance())
+        return self.loop_budget.read_view(limit)
+
     def bytes_received(self, view: memoryview) -> None:
         """Parse the response; bytes without a request close the connection."""
         if self.handler is None:
--- a/dahliabend/transport/connection.py
+++ b/dahliabend/transport/connection.py
@@ -113,10 +113,7 @@
 
     def get_buffer(self, _sizehint: int) -> memoryview:
         """Return the buffer for the bytes that the transport reads next; empty while input has to wait."""
-        limit = RECEIVE_AREA_BYTES - len(self.unprocessed)
-        if self.memory.buffered > self.memory.scarce_above:
-            limit = min(limit, self.memory.allowance())
-        return self.loop_budget.read_view(limit)
+        return self.loop_budget.read_view(RECEIVE_AREA_BYTES - len(self.unprocessed))
 
     def buffer_updated(self, nbytes: int) -> None:
         """Take in `nbytes` bytes that the transport has read."""
--- a/dahliabend/transport/memory_budget.py
+++ b/dahliabend/transport/memory_budget.py
@@ -7,12 +7,14 @@
 from dahliabend.transport.timers import clock
 
 # What an open connection holds with nothing buffered: its objects, its parser and its transport.
-CONNECTION_BYTES = 6 * 1024
-CONNECTIONS_FRACTION = 1 / 4  # of the capacity, for connections with nothing buffered
+CONNECTION_BYTES = 9 * 1024
+CONNECTIONS_FRACTION = 3 / 8  # of the capacity, for connections with nothing buffered
 HIGH_WATER = 1 / 2  # of the capacity: above it, holders have to give up what they hold
 LOW_WATER = 3 / 8  # of the capacity, which is then aimed at
 FULL = 5 / 8  # of the capacity: above it, no request is admitted
-BUFFERS_FRACTION = 1 / 8  # of the capacity, shared by what connections buffer of bodies that are passed on
+BUFFERS_FRACTION = (
+    HIGH_WATER - CONNECTIONS_FRACTION
+) / 2  # of the capacity; requests in flight need the rest
 MAX_ALLOWANCE = 64 * 1024  # bytes that one direction of a connection may buffer
 MIN_ALLOWANCE = 4 * 1024
 ALLOWANCE_DIVISOR = 16  # one direction of a connection may buffer this part of what is left for buffers
@@ -55,8 +57,8 @@
 
     >>> budget = MemoryBudget(8_000_000)
     >>> budget.allowance(), budget.is_full()
-    (62500, False)
-    >>> budget.buffered = 900_000; budget.allowance()
+    (31250, False)
+    >>> budget.buffered = 400_000; budget.allowance()
     6250
     >>> budget.reserved = 7_200_000; budget.is_full()
     True
