Changes are learned from a discovery service that takes seconds to answer

Cause: a watch without a byte for 1.5 s (0.5 s where lists are pushed) was closed, so the answer of a slower service always found a closed connection.

Later watches with a longer time would have delayed what is learned after an outage, so no time-out changed.

--- a/dahliabend/discovery/watch.py
+++ b/dahliabend/discovery/watch.py
@@ -6,6 +6,7 @@
 from functools import partial
 
 from dahliabend.discovery.endpoint_list import EndpointList
+from dahliabend.discovery.unanswered_watches import UnansweredWatches
 from dahliabend.discovery.watch_connection import WatchConnection
 from dahliabend.transport.connection import dial
 from dahliabend.transport.descriptor_budget import DescriptorBudget
@@ -14,7 +15,8 @@
 # Microseconds.
 HEARTBEAT_INTERVAL = 2_000_000  # between the empty lines that are sent while nothing changes
 SILENCE_TIMEOUT = HEARTBEAT_INTERVAL * 9 // 8  # without a byte for so long, the watch is considered dead
-# From the request to the first byte; shorter, because a working discovery service answers at once.
+# From the request to the first byte; shorter, because a working discovery service answers at once. After it
+# another watch is requested, as the service may have been down; the first one may still be answered.
 FIRST_BYTE_TIMEOUT = HEARTBEAT_INTERVAL // 4
 SHARED_FIRST_BYTE_TIMEOUT = HEARTBEAT_INTERVAL * 3 // 4  # a shared service may answer others first
 MIN_BACKOFF = HEARTBEAT_INTERVAL // 20  # before a watch is reopened
@@ -33,13 +35,14 @@
 
 
 class DiscoveryClient:
-    """Keeps one watch of the endpoint list open.
+    """Keeps one watch of the endpoint list open, and beside it those that are not answered yet.
 
     Attributes:
         address: Host and port of the discovery service.
         state: State of the watch.
         watch: The current watch, while CONNECTING, REQUESTED or ACTIVE.
         previous_watch: The watch at the previous address, until the current one is active.
+        unanswered: Earlier watches that may still be answered; the first one that is becomes the current one.
         connect_task: Connects the current watch.
         silence_timer: Fires if nothing is received in time.
         retry_timer: Fires when the next watch has to be opened.
@@ -82,6 +85,7 @@
         self.state = WatchState.IDLE
         self.watch: WatchConnection | None = None
         self.previous_watch: WatchConnection | None = None
+        self.unanswered = UnansweredWatches()
         self.connect_task: asyncio.Task[None] | None = None
         self.silence_timer: Timer | None = None
         self.retry_timer: Timer | None = None
@@ -125,6 +129,7 @@
             return
         self.address = address
         self.backoff = MIN_BACKOFF
+        self.unanswered.close()
         if self.state is WatchState.CONNECTING:
             self._cancel_connecting()
         elif self.watch is not None:
@@ -140,6 +145,7 @@
         self.timers.cancel(self.retry_timer)
         self.timers.cancel(self.silence_timer)
         self.close_previous_watch()
+        self.unanswered.close()
         self.close()
         self.state = WatchState.STOPPED
         self.watch = None
@@ -186,27 +192,56 @@
         self.restart_silence_timer(self.first_byte_timeout)
         watch.send_request(f"{self.address[0]}:{self.address[1]}")
 
-    def data_received(self) -> None:
-        """Handle bytes on the current watch: REQUESTED or ACTIVE to ACTIVE."""
+    def data_received(self, watch: WatchConnection) -> None:
+        """Handle bytes on a watch: REQUESTED or ACTIVE to ACTIVE.
+
+        The first bytes on an earlier watch make it the current one, whatever the state.
+        """
+        if watch is not self.watch:
+            self._adopt(watch)
+        if self.state is not WatchState.ACTIVE:
+            self.unanswered.answered(clock() - watch.requested_at)
         self.state = WatchState.ACTIVE
         self.first_attempt_finished = True
         self.backoff = MIN_BACKOFF
         self.restart_silence_timer(SILENCE_TIMEOUT)
         self.close_previous_watch()
 
+    def _adopt(self, watch: WatchConnection) -> None:
+        """Make an earlier watch the current one, as it has been answered first."""
+        if not self.unanswered.remove(watch):
+            return
+        current = self.watch
+        self.watch = watch
+        self.timers.cancel(self.retry_timer)
+        if self.state is WatchState.CONNECTING:
+            self._cancel_connecting()
+        elif current is not None:
+            current.abort()
+        self.state = WatchState.REQUESTED
+
     def restart_silence_timer(self, timeout: int) -> None:
         """Set the time in microseconds within which something has to be received."""
         self.timers.cancel(self.silence_timer)
         self.silence_timer = self.timers.schedule(clock() + timeout, self.watch_silent)
 
     def watch_silent(self) -> None:
-        """Close a watch that sent nothing in time; it is then reopened."""
+        """Request another watch, as the current one sent nothing in time.
+
+        One that has sent nothing at all stays open beside it: a slow service may still answer.
+        """
         self.log("watch.timed_out", version=self.endpoint_list.version)
-        self.close()
+        if self.state is not WatchState.REQUESTED or self.watch is None:
+            self.close()
+            return
+        watch = self.watch
+        self.watch_ended(watch)
+        self.unanswered.add(watch, clock())
 
     def watch_ended(self, watch: WatchConnection) -> None:
         """Schedule the next watch if the current one is closed: any state to BACKING_OFF."""
         if watch is not self.watch:
+            self.unanswered.remove(watch)
             return
         self.watch = None
         self.first_attempt_finished = True
--- a/dahliabend/discovery/watch_connection.py
+++ b/dahliabend/discovery/watch_connection.py
@@ -8,6 +8,7 @@
 from dahliabend.discovery.endpoint_list import EndpointList
 from dahliabend.transport.connection import Connection
 from dahliabend.transport.descriptor_budget import DescriptorBudget
+from dahliabend.transport.timers import clock
 
 MAX_LINE_BYTES = 8 * 1024 * 1024
 MIN_LINE_LIMIT = 1024 * 1024  # bytes that a line may have however little memory there is
@@ -18,13 +19,17 @@
     """A request whose response lasts as long as the watch, with one message per line.
 
     Data that cannot be parsed ends the watch; the next watch asks for the changes that this one missed.
+
+    Attributes:
+        requested_at: Clock time (us) at which the request was sent; 0 before.
+        awaits_first_message: Whether no message has been applied yet.
     """
 
     def __init__(
         self,
         descriptors: DescriptorBudget,
         endpoint_list: EndpointList,
-        on_data: Callable[[], None],
+        on_data: Callable[["WatchConnection"], None],
         on_end: Callable[["WatchConnection"], None],
     ) -> None:
         """Create a connection that is not connected yet; `dial` connects it.
@@ -41,10 +46,12 @@
         self.on_end = on_end
         self.parser = httptools.HttpResponseParser(self)
         self.partial_line = bytearray()
-        self.awaits_first_message = True  # no message has been applied yet
+        self.requested_at = 0
+        self.awaits_first_message = True
 
     def send_request(self, host: str) -> None:
         """Ask for the changes after the applied version, or for the full list if there is none."""
+        self.requested_at = clock()
         version = self.endpoint_list.version
         after = b"&after=%d" % version if version >= 0 else b""
         self.write(b"GET /api/targets?watch=1%b HTTP/1.1\r\nHost: %b\r\n\r\n" % (after, host.encode()))
@@ -98,7 +105,7 @@
         """Parse received bytes; close the connection if they are invalid."""
         try:
             self.parser.feed_data(view)
-            self.on_data()
+            self.on_data(self)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.endpoint_list.log("watch.broken", reason=repr(error.__context__ or error))
             self.abort()
@@ -109,4 +116,4 @@
         self.on_end(self)
 
 
-def _do_nothing() -> None: ...
+def _do_nothing(watch: WatchConnection) -> None: ...
