A submission that runs is not rejected for what its client sends behind its long body

Cause: a connection keeps the upload until the response, and took it for a body that is still being received: for giving up incomplete requests (descriptors, memory), for errors in what is parsed next, and for the time limit.

Evidence: without a crowd, the beginning of a head behind the body ended the submission with 408 after 2.5 s, spoilt bytes ended it with 400 at once.

Three new tests failed before (408 and 400 in place of 200; a rank for memory's relief).

--- a/tests/http/test_client_connection.py
+++ b/tests/http/test_client_connection.py
@@ -8,7 +8,7 @@
     endpoint_table,
     send_request,
 )
-from fake_transport import DISPATCHER, FakeTransport, feed, incoming_request
+from fake_transport import DISPATCHER, FakeTransport, feed, ignore, incoming_request
 from helpers import MS, S
 from http_messages import SIZED
 
@@ -82,6 +82,26 @@
         assert (b"Connection: close" in client.transport.written) is not is_kept_open
 
 
+# Guards against review/6: a submission that ran was rejected for the beginning of the next request behind it.
+def test_a_request_that_has_been_received_is_not_given_up_for_the_one_behind_it():
+    client = ClientConnection(DescriptorBudget(100), endpoint_table().resources.timers, DISPATCHER, S)
+    transport = FakeTransport(client)
+    client.state, client.upload = (
+        ServingState.SERVING,
+        SimpleNamespace(is_complete=False, beginning=b"", input_consumed=ignore),
+    )
+    client.parser.received_at = client.last_input_at = clock()
+    assert client.relief_rank(clock()) is not None
+    client.upload.is_complete = True
+    assert client.relief_rank(clock()) is None
+    feed(client, b"POST /submit HTTP/1.1\r\nHost: a\r\n")
+    assert not client.descriptors.receiving
+    client.reject_incomplete()
+    client.request_timed_out()
+    assert transport.written == b""
+    assert not client.parser.error_status
+
+
 def test_closed_connections_and_finished_requests_leave_no_reference_cycles():
     gc.disable()
     try:
--- a/tests/http/test_pipelined_requests.py
+++ b/tests/http/test_pipelined_requests.py
@@ -2,6 +2,7 @@
 
 import time
 
+import pytest
 from helpers import Client, Upstream, make_response, start_balancer
 
 TIMEOUT = 1.0  # seconds
@@ -43,3 +44,27 @@
         for number in range(4, COUNT // 2):
             assert client.read()[0] == 200
             client.sock.sendall(pipelined_request(number))
+
+
+LONG_BODY = b"x" * 100_000  # passed on to the upstream while it is received
+LONG_SUBMISSION = {
+    "name": "submit", "service-goal": 10_000.0, "hard-limit": 10_000.0, "semantics": "at_most_once",
+}  # fmt: skip
+SUBMISSION_WORK = 2.65  # seconds, more than a client gets to send a request
+
+
+# Guards against review/6: what came behind a long body that had been received ended the request that ran.
+@pytest.mark.parametrize("behind", [b"POST /submit HTTP/1.1\r\nX-Tr", b"\x00\x01 spoilt\r\n\r\n"])
+def test_a_submission_that_runs_is_answered_whatever_comes_behind_its_long_body(behind):
+    def respond(conn, request):
+        time.sleep(SUBMISSION_WORK)
+        return conn.sendall(make_response()) is None
+
+    upstream = Upstream(respond)
+    with start_balancer(upstream, settings={"profiles": [LONG_SUBMISSION]}) as (address, _, _):
+        client = Client(address)
+        client.send("submit", "POST", LONG_BODY, timeout_ms="10000")
+        assert upstream.received_requests.get(timeout=5)[2] == LONG_BODY
+        client.sock.sendall(behind)
+        assert client.read()[0] == 200
+        assert upstream.received_requests.empty()
