Names: age limit of unanswered watches, interval of a queue's check; is_uploading beside the upload

Change: renamed; is_uploading stands where the upload is owned (ResponseSender); that reads shrink while memory is scarce is a property of the kind of connection in place of a second get_buffer.

--- a/dahliabend/http/client_connection.py
+++ b/dahliabend/http/client_connection.py
@@ -71,14 +71,6 @@
         """Whether a request has no response yet, or one that has not been sent in full."""
         return self.state is SERVING or self.state is FLUSHING
 
-    @property
-    def _is_uploading(self) -> bool:
-        """Whether the body of the request that is being served is still being received.
-
-        Until its last byte has come, no upstream executes the request.
-        """
-        return self.upload is not None and not self.upload.is_complete
-
     # Parser callbacks
 
     def request_received(self, request: ReceivedRequest) -> None:
@@ -117,7 +109,7 @@
         # Stop reading from a client that pipelines: otherwise its requests would pile up in memory.
         self.parsing_blocked = bool(self.queue or self.parser.error_status)
         if self.parser.error_status and not self.closed:
-            if self._is_uploading:
+            if self.is_uploading:
                 self._fail_upload()
                 return
             if self.state is WAITING:
@@ -147,7 +139,7 @@
 
     def _limit_begun_request(self) -> None:
         """Set the time limit for receiving a request that has begun, unless one is set."""
-        if self._is_serving and not self._is_uploading:
+        if self._is_serving and not self.is_uploading:
             return
         if self.handle not in self.descriptors.receiving:
             begun_at = self.parser.begun_at
@@ -289,7 +281,7 @@
         """Whether a request has begun and can still be rejected, as no upstream can have all of it."""
         if self.parser.error_status or not self.parser.received_at:
             return False
-        return self.state is WAITING or (self._is_uploading and self.response is None)
+        return self.state is WAITING or (self.is_uploading and self.response is None)
 
     def relieve(self) -> None:
         """Reject the request that is being received, or end the connection of a slow reader."""
@@ -338,7 +330,7 @@
 
     def request_timed_out(self) -> None:
         """Reject a request that was not received in time; a body that arrives fast enough gets more time."""
-        if self._is_serving and not self._is_uploading:
+        if self._is_serving and not self.is_uploading:
             return
         parser = self.parser
         if parser.head_complete_at and parser.received_at and not parser.error_status:
--- a/dahliabend/http/response_sender.py
+++ b/dahliabend/http/response_sender.py
@@ -64,6 +64,14 @@
 
     # The current request
 
+    @property
+    def is_uploading(self) -> bool:
+        """Whether the body of the current request is still being received.
+
+        Until its last byte has come, no upstream executes the request.
+        """
+        return self.upload is not None and not self.upload.is_complete
+
     def classify(self, method: bytes, path: bytes, fields: HeaderFields) -> int | None:
         """Return the number of the request's class, if known, and count the request as open."""
         name_and_number = self.dispatcher.classify(method, path, fields)
--- a/dahliabend/http/upstream_connection.py
+++ b/dahliabend/http/upstream_connection.py
@@ -10,7 +10,6 @@
 from dahliabend.http.streaming import BodySource, StreamingBody
 from dahliabend.transport.connection import Connection
 from dahliabend.transport.descriptor_budget import DescriptorBudget
-from dahliabend.transport.loop_budget import RECEIVE_AREA_BYTES
 from dahliabend.transport.timers import TimerQueue
 
 STATUS_OK = 200
@@ -118,6 +117,8 @@
         ends_with_connection: Whether the body ends when the connection is closed.
     """
 
+    reads_less_if_memory_is_scarce = True
+
     def __init__(self, descriptors: DescriptorBudget, owner: ConnectionOwner) -> None:
         """Create a connection that is not connected yet; `dial` connects it.
 
@@ -297,13 +298,6 @@
 
     # Input and end of the connection
 
-    def get_buffer(self, _sizehint: int) -> memoryview:
-        """Return the buffer for the bytes that the transport reads next: few while memory is scarce."""
-        limit = RECEIVE_AREA_BYTES - len(self.unprocessed)
-        if self.memory.buffered > self.memory.scarce_above:
-            limit = min(limit, self.memory.allowance())
-        return self.loop_budget.read_view(limit)
-
     def bytes_received(self, view: memoryview) -> None:
         """Parse the response; bytes without a request close the connection."""
         if self.handler is None:
--- a/dahliabend/policy/key_order.py
+++ b/dahliabend/policy/key_order.py
@@ -10,7 +10,7 @@
 from dahliabend.policy.records import RequestState
 
 _UNCERTAIN_OUTCOMES = (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)  # the attempt may still run
-TURN_CHECK_INTERVAL = 2_000  # until a request that waits for another process looks again
+QUEUE_CHECK_INTERVAL = 2_000  # until a request that waits for another process looks again
 
 
 class KeyState(NamedTuple):
@@ -198,7 +198,7 @@
 
     def _check_later(self, key: int | bytes, queue: KeyQueue, now: int) -> None:
         """Look again in a moment, as another process has a request of the key out or one that is earlier."""
-        queue.next_check = now + TURN_CHECK_INTERVAL
+        queue.next_check = now + QUEUE_CHECK_INTERVAL
         heappush(self.pauses, (queue.next_check, key))
         self.port.set_timer(queue.next_check, TimerToken.KEY_PAUSE)
         self._publish(key, queue)
--- a/dahliabend/transport/connection.py
+++ b/dahliabend/transport/connection.py
@@ -29,6 +29,7 @@
     against the `LoopBudget`.
 
     Attributes:
+        reads_less_if_memory_is_scarce: Whether a read takes no more than one direction may buffer then.
         handle: Handle of this connection in the descriptor budget.
         memory: The account of what is buffered.
         loop_budget: Divides the event loop's time among the connections.
@@ -49,6 +50,8 @@
         sock: The socket; None before it is connected, and after the connection is lost or reset.
     """
 
+    reads_less_if_memory_is_scarce = False
+
     def __init__(self, descriptors: DescriptorBudget) -> None:
         super().__init__()
         self.descriptors = descriptors
@@ -113,7 +116,10 @@
 
     def get_buffer(self, _sizehint: int) -> memoryview:
         """Return the buffer for the bytes that the transport reads next; empty while input has to wait."""
-        return self.loop_budget.read_view(RECEIVE_AREA_BYTES - len(self.unprocessed))
+        limit = RECEIVE_AREA_BYTES - len(self.unprocessed)
+        if self.reads_less_if_memory_is_scarce and self.memory.buffered > self.memory.scarce_above:
+            limit = min(limit, self.memory.allowance())
+        return self.loop_budget.read_view(limit)
 
     def buffer_updated(self, nbytes: int) -> None:
         """Take in `nbytes` bytes that the transport has read."""
--- a/tests/discovery/test_watch.py
+++ b/tests/discovery/test_watch.py
@@ -9,7 +9,7 @@
 
 from dahliabend.discovery import watch_connection
 from dahliabend.discovery.endpoint_list import EndpointList
-from dahliabend.discovery.unanswered_watches import MAX_PATIENCE, MAX_UNANSWERED, UnansweredWatches
+from dahliabend.discovery.unanswered_watches import MAX_AGE_LIMIT, MAX_UNANSWERED, UnansweredWatches
 from dahliabend.discovery.watch import DiscoveryClient, WatchState
 from dahliabend.transport.descriptor_budget import DescriptorBudget
 from dahliabend.transport.timers import TimerQueue, clock
@@ -174,7 +174,7 @@
     assert not client.unanswered.watches
 
 
-def test_the_patience_for_the_oldest_watch_grows_while_none_is_answered(monkeypatch):
+def test_the_time_for_which_the_oldest_watch_stays_open_grows_while_none_is_answered(monkeypatch):
     now = [S]
     monkeypatch.setattr(watch_connection, "clock", lambda: now[0])
     unanswered, oldest = UnansweredWatches(), []
@@ -184,9 +184,9 @@
         unanswered.add(request_watch(client), now[0])
         assert len(unanswered.watches) <= MAX_UNANSWERED
         oldest.append(now[0] - unanswered.watches[0].requested_at)
-    assert max(oldest) == MAX_PATIENCE
+    assert max(oldest) == MAX_AGE_LIMIT
     unanswered.answered(wait=10 * S)
-    assert unanswered.patience == 20 * S
+    assert unanswered.max_age == 20 * S
     assert not unanswered.watches
 
 
--- a/tests/proxy/test_shared_key_order.py
+++ b/tests/proxy/test_shared_key_order.py
@@ -8,7 +8,7 @@
 from fake_port import DEDUPLICATED, MS, S, make_balancer
 
 from dahliabend.model import Outcome, TimerToken
-from dahliabend.policy.key_order import TURN_CHECK_INTERVAL, KeyState
+from dahliabend.policy.key_order import QUEUE_CHECK_INTERVAL, KeyState
 from dahliabend.proxy.executed_requests import digest_of
 from dahliabend.proxy.shared_key_order import SLOTS, TABLE_BYTES, SharedKeyOrder
 
@@ -77,10 +77,10 @@
     new.admit(2, NOW + 1)
     new.admit(3, NOW + 2, key=b"other")
     assert (old.sent, new.sent) == ([1], [3])
-    new.look_again(NOW + TURN_CHECK_INTERVAL + 1)
+    new.look_again(NOW + QUEUE_CHECK_INTERVAL + 1)
     assert new.sent == [3]
     finish(first)
-    new.look_again(NOW + 2 * TURN_CHECK_INTERVAL + 1)
+    new.look_again(NOW + 2 * QUEUE_CHECK_INTERVAL + 1)
     assert new.sent == [3, 2]
 
 
@@ -91,10 +91,10 @@
     old.admit(3, NOW + 2)
     finish(first, NOW + 3)
     assert old.sent == [1]  # the one in the other process was admitted earlier
-    new.look_again(NOW + TURN_CHECK_INTERVAL + 1)
+    new.look_again(NOW + QUEUE_CHECK_INTERVAL + 1)
     assert new.sent == [2]
-    finish(second, NOW + 2 * TURN_CHECK_INTERVAL)
-    old.look_again(NOW + 2 * TURN_CHECK_INTERVAL + 3)
+    finish(second, NOW + 2 * QUEUE_CHECK_INTERVAL)
+    old.look_again(NOW + 2 * QUEUE_CHECK_INTERVAL + 3)
     assert old.sent == [1, 3]
 
 
@@ -108,7 +108,7 @@
     new.look_again(ended_at + PAUSE - 1)
     assert new.sent == []
     old.look_again(ended_at + PAUSE)
-    new.look_again(ended_at + PAUSE + TURN_CHECK_INTERVAL)
+    new.look_again(ended_at + PAUSE + QUEUE_CHECK_INTERVAL)
     assert new.sent == [2]
 
 
@@ -121,7 +121,7 @@
     finish(first, NOW + 3)
     assert old.sent == [1, 2]
     finish(waiting, NOW + 4)
-    new.look_again(NOW + TURN_CHECK_INTERVAL + 2)
+    new.look_again(NOW + QUEUE_CHECK_INTERVAL + 2)
     assert new.sent == [3]
 
 
@@ -131,7 +131,7 @@
     old.admit(2, NOW + 1)
     new.admit(3, NOW + 2)
     new.order.update_foreign(set(), NOW + 3)
-    new.look_again(NOW + TURN_CHECK_INTERVAL + 2)
+    new.look_again(NOW + QUEUE_CHECK_INTERVAL + 2)
     assert new.sent == []
     end = NOW + TIME_LEFT + PAUSE
     new.order.update_foreign(set(), end - 1)
@@ -150,7 +150,7 @@
     new.admit(2, NOW + 1)
     assert new.sent == []
     new.order.update_foreign(set(), NOW + 2)
-    new.look_again(NOW + TURN_CHECK_INTERVAL + 1)
+    new.look_again(NOW + QUEUE_CHECK_INTERVAL + 1)
     assert new.sent == [2]
     uploading.body_received(NOW + 3, NOW + TIME_LEFT)
     assert old.order.fields[digest_of(KEY) % SLOTS * 2] == NOW + TIME_LEFT + PAUSE
@@ -172,7 +172,7 @@
     leaving.client_disconnected(NOW + 3)
     finish(first, NOW + 4)
     assert old.sent == [1, 3]
-    new.look_again(NOW + TURN_CHECK_INTERVAL + 1)
+    new.look_again(NOW + QUEUE_CHECK_INTERVAL + 1)
     assert not new.balancer.key_queues.queues
 
 
@@ -182,7 +182,7 @@
     new.admit(1)
     assert new.sent == []
     lock.is_free = True
-    new.look_again(NOW + TURN_CHECK_INTERVAL)
+    new.look_again(NOW + QUEUE_CHECK_INTERVAL)
     assert new.sent == [1]
 
 
